Add the module, the model, the messages and the interfaces of all parts

The model validates a ticket against the state, folds records into an immutable state and refuses stale revisions. The other packages hold the types that the parts share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+GO ?= go
+PACKAGES = ./...
+
+.PHONY: all build test lint fmt check demo bench soak generate
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
+
+test: build
+	$(GO) test $(PACKAGES)
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+lint:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+generate:
+	$(GO) generate ./internal/wire/...
--- /dev/null
+++ b/internal/member/endpoint.go
@@ -0,0 +1,107 @@
+// Package member knows the daemons of the mesh and their endpoints, and
+// derives the relay tree from them. It does no I/O.
+package member
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// State is what an endpoint can do.
+type State int
+
+// States of an endpoint. A later state replaces an earlier one of the same
+// incarnation and sequence.
+const (
+	Ready State = iota + 1
+	Draining
+	// Gone means that the daemon left or that its relay lost the link to it.
+	Gone
+)
+
+// String returns the state's name in the administration API.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+// Target is what a target announces about itself. The zero value means that
+// the VM has no target.
+type Target struct {
+	Service string
+	Version string
+	// Address is where the daemon beside the target reaches it.
+	Address     string
+	Slots       uint32
+	Connections uint32
+	Started     time.Time
+}
+
+// Endpoint is a daemon and the target beside it.
+type Endpoint struct {
+	VM          string
+	Incarnation uint64
+	Sequence    uint64
+	State       State
+	Domain      string
+	Region      string
+	PeerAddress string
+	// InboundAddress takes proxied requests for the target.
+	InboundAddress string
+	Target         Target
+}
+
+// Newer reports whether e replaces other, an entry of the same VM.
+func (e *Endpoint) Newer(other *Endpoint) bool {
+	return cmp.Or(
+		cmp.Compare(e.Incarnation, other.Incarnation),
+		cmp.Compare(e.Sequence, other.Sequence),
+		cmp.Compare(e.State, other.State),
+	) > 0
+}
+
+// Serves reports whether the endpoint takes new work for the service.
+func (e *Endpoint) Serves(service string) bool {
+	return e.State == Ready && e.Target.Service == service
+}
+
+// ToWire encodes the endpoint. The target's own address stays on its VM.
+func (e *Endpoint) ToWire() *wire.Endpoint {
+	w := &wire.Endpoint{
+		Vm: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
+		State: wire.EndpointState(e.State), Domain: e.Domain, Region: e.Region,
+		PeerAddress: e.PeerAddress, InboundAddress: e.InboundAddress,
+		Service: e.Target.Service, Version: e.Target.Version,
+		Slots: e.Target.Slots, Connections: e.Target.Connections,
+	}
+	if !e.Target.Started.IsZero() {
+		w.StartedUnixMs = e.Target.Started.UnixMilli()
+	}
+	return w
+}
+
+// FromWire decodes an endpoint.
+func FromWire(w *wire.Endpoint) Endpoint {
+	e := Endpoint{
+		VM: w.GetVm(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(),
+		State: State(w.GetState()), Domain: w.GetDomain(), Region: w.GetRegion(),
+		PeerAddress: w.GetPeerAddress(), InboundAddress: w.GetInboundAddress(),
+		Target: Target{
+			Service: w.GetService(), Version: w.GetVersion(),
+			Slots: w.GetSlots(), Connections: w.GetConnections(),
+		},
+	}
+	if ms := w.GetStartedUnixMs(); ms != 0 {
+		e.Target.Started = time.UnixMilli(ms).UTC()
+	}
+	return e
+}
--- /dev/null
+++ b/internal/model/state.go
@@ -0,0 +1,268 @@
+package model
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+// State is the configuration at a revision.
+type State struct {
+	Revision   uint64
+	LastTicket uint64
+	Services   map[string]*Service
+	Routes     map[string]*Route
+	// Open holds the accepted tickets whose moves have not ended.
+	Open map[uint64]*OpenTicket
+	// Outcomes holds the newest recorded outcomes, by ticket.
+	Outcomes map[uint64]Outcome
+}
+
+// NewState returns the empty configuration at revision zero.
+func NewState() *State {
+	return &State{
+		Services: map[string]*Service{},
+		Routes:   map[string]*Route{},
+		Open:     map[uint64]*OpenTicket{},
+		Outcomes: map[uint64]Outcome{},
+	}
+}
+
+// Apply returns the state after the record. It fails with fault.Stale for a
+// revision that the state already has, with fault.OutOfOrder for a gap, and
+// with the kinds of Validate for a ticket that breaks a rule. The receiver is
+// not changed, and nothing of a failed record is kept.
+func (s *State) Apply(r *Record) (*State, error) {
+	if r.Revision <= s.Revision {
+		return nil, fault.New(fault.Stale, "record %d is not newer than revision %d", r.Revision, s.Revision)
+	}
+	if r.Revision != s.Revision+1 {
+		return nil, fault.New(fault.OutOfOrder, "record %d does not follow revision %d", r.Revision, s.Revision)
+	}
+	next := s.clone()
+	next.Revision = r.Revision
+	switch {
+	case r.Ticket != nil:
+		if err := s.Validate(r.Ticket); err != nil {
+			return nil, err
+		}
+		next.applyTicket(r)
+	case r.Outcome != nil:
+		if err := next.applyOutcome(*r.Outcome); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, fault.New(fault.Invalid, "record %d has neither a ticket nor an outcome", r.Revision)
+	}
+	if err := next.Check(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (s *State) clone() *State {
+	return &State{
+		Revision:   s.Revision,
+		LastTicket: s.LastTicket,
+		Services:   maps.Clone(s.Services),
+		Routes:     maps.Clone(s.Routes),
+		Open:       maps.Clone(s.Open),
+		Outcomes:   maps.Clone(s.Outcomes),
+	}
+}
+
+func (s *State) applyTicket(r *Record) {
+	t := r.Ticket
+	if t.Supersedes != 0 {
+		s.restore(s.Open[t.Supersedes].Before)
+		s.close(Outcome{Ticket: t.Supersedes, Result: Superseded, At: r.At})
+	}
+	s.LastTicket = t.Number
+	open := &OpenTicket{Ticket: t, Accepted: r.At, Revision: r.Revision, Before: s.image(t)}
+	for _, name := range t.RemoveRoutes {
+		delete(s.Routes, name)
+	}
+	for _, name := range t.RemoveServices {
+		delete(s.Services, name)
+	}
+	for i := range t.Services {
+		s.startService(open, &t.Services[i])
+	}
+	for i := range t.Routes {
+		s.Routes[t.Routes[i].Name] = &t.Routes[i]
+	}
+	if len(t.Moves) == 0 {
+		s.close(Outcome{Ticket: t.Number, Result: Done, At: r.At})
+		return
+	}
+	s.Open[t.Number] = open
+}
+
+// startService puts the ticket's service in force. A service that moves keeps
+// its old shares and its old versions until the move is done.
+func (s *State) startService(open *OpenTicket, target *Service) {
+	before := open.Before.Services[target.Name]
+	if before == nil || !moves(open.Ticket, target.Name) {
+		s.Services[target.Name] = settled(before, target)
+		return
+	}
+	s.Services[target.Name] = &Service{
+		Name:     target.Name,
+		Versions: union(before.Versions, target.Versions),
+		Shares:   before.Shares,
+		Proved:   before.Proved,
+	}
+}
+
+// settled is the service once its traffic follows the target's shares.
+func settled(before, target *Service) *Service {
+	var proved []string
+	if before != nil {
+		proved = before.Proved
+	}
+	for version, share := range target.Shares {
+		if share > 0 {
+			proved = union(proved, []string{version})
+		}
+	}
+	kept := slices.DeleteFunc(slices.Clone(proved), func(v string) bool { return !slices.Contains(target.Versions, v) })
+	return &Service{Name: target.Name, Versions: target.Versions, Shares: target.Shares, Proved: kept}
+}
+
+func (s *State) applyOutcome(o Outcome) error {
+	open, ok := s.Open[o.Ticket]
+	if !ok {
+		return fault.New(fault.NotFound, "ticket %d is not open", o.Ticket)
+	}
+	switch o.Result {
+	case Done:
+		for i := range open.Ticket.Services {
+			target := &open.Ticket.Services[i]
+			s.Services[target.Name] = settled(open.Before.Services[target.Name], target)
+		}
+	case TakenBack:
+		s.restore(open.Before)
+	default:
+		return fault.New(fault.Invalid, "outcome %q cannot be recorded by itself", o.Result)
+	}
+	s.close(o)
+	return nil
+}
+
+func (s *State) close(o Outcome) {
+	delete(s.Open, o.Ticket)
+	s.Outcomes[o.Ticket] = o
+	if len(s.Outcomes) <= OutcomesKept {
+		return
+	}
+	oldest := o.Ticket
+	for number := range s.Outcomes {
+		oldest = min(oldest, number)
+	}
+	delete(s.Outcomes, oldest)
+}
+
+func (s *State) image(t *Ticket) Image {
+	before := Image{Services: map[string]*Service{}, Routes: map[string]*Route{}}
+	for _, name := range t.serviceNames() {
+		before.Services[name] = s.Services[name]
+	}
+	for _, name := range t.routeNames() {
+		before.Routes[name] = s.Routes[name]
+	}
+	return before
+}
+
+func (s *State) restore(before Image) {
+	for name, service := range before.Services {
+		if service == nil {
+			delete(s.Services, name)
+		} else {
+			s.Services[name] = service
+		}
+	}
+	for name, route := range before.Routes {
+		if route == nil {
+			delete(s.Routes, name)
+		} else {
+			s.Routes[name] = route
+		}
+	}
+}
+
+// Check reports fault.Inconsistent when a route points at a service or a
+// version that the state does not have.
+func (s *State) Check() error {
+	for _, r := range s.Routes {
+		service, ok := s.Services[r.Service]
+		if !ok {
+			return fault.New(fault.Inconsistent, "route %q points at service %q, which does not exist", r.Name, r.Service)
+		}
+		if r.Version != "" && !slices.Contains(service.Versions, r.Version) {
+			return fault.New(fault.Inconsistent, "route %q points at version %q, which service %q does not have", r.Name, r.Version, r.Service)
+		}
+	}
+	return nil
+}
+
+// EffectiveShares returns the shares of a service, in percent, when the open
+// ticket that moves it has come to progress, a fraction of 0 to 1.
+func (s *State) EffectiveShares(name string, progress func(ticket uint64) float64) map[string]float64 {
+	service, ok := s.Services[name]
+	if !ok {
+		return nil
+	}
+	shares := make(map[string]float64, len(service.Versions))
+	for version, share := range service.Shares {
+		shares[version] = float64(share)
+	}
+	open := s.OpenMove(name)
+	if open == nil {
+		return shares
+	}
+	done := progress(open.Ticket.Number)
+	for version := range shares {
+		shares[version] *= 1 - done
+	}
+	for version, share := range open.NewService(name).Shares {
+		shares[version] += float64(share) * done
+	}
+	return shares
+}
+
+// OpenMove returns the open ticket that moves the service, or nil.
+func (s *State) OpenMove(service string) *OpenTicket {
+	for _, open := range s.Open {
+		if moves(open.Ticket, service) {
+			return open
+		}
+	}
+	return nil
+}
+
+func moves(t *Ticket, service string) bool {
+	return slices.ContainsFunc(t.Moves, func(m Move) bool { return m.Service == service })
+}
+
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (t *Ticket) serviceNames() []string {
+	names := slices.Clone(t.RemoveServices)
+	for i := range t.Services {
+		names = append(names, t.Services[i].Name)
+	}
+	return names
+}
+
+func (t *Ticket) routeNames() []string {
+	names := slices.Clone(t.RemoveRoutes)
+	for i := range t.Routes {
+		names = append(names, t.Routes[i].Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/model/validate.go
@@ -0,0 +1,268 @@
+package model
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+// findings collects every fault of a ticket, so that an operator sees all at once.
+type findings []string
+
+func (f *findings) add(format string, args ...any) {
+	*f = append(*f, fmt.Sprintf(format, args...))
+}
+
+// Validate reports whether the ticket can follow the state. It fails with
+// fault.OutOfOrder or fault.NumberTaken for a wrong number, fault.OpenMove for
+// a clash with an open ticket, and fault.Invalid, with every finding in
+// Details, for anything else.
+func (s *State) Validate(t *Ticket) error {
+	if err := s.validateNumber(t); err != nil {
+		return err
+	}
+	if err := s.validateOpen(t); err != nil {
+		return err
+	}
+	var f findings
+	f.checkSize(t)
+	f.checkServices(t)
+	f.checkRoutes(t)
+	f.checkMoves(t)
+	if len(f) == 0 {
+		f.checkAgainst(s.afterSupersede(t), t)
+	}
+	if len(f) > 0 {
+		return fault.WithDetails(fault.Invalid, fmt.Sprintf("ticket %d has %d faults: %s", t.Number, len(f), strings.Join(f, "; ")), f)
+	}
+	return nil
+}
+
+func (s *State) validateNumber(t *Ticket) error {
+	switch next := s.LastTicket + 1; {
+	case t.Number == 0:
+		return fault.WithDetails(fault.Invalid, "a ticket's number starts at 1", []string{"number: starts at 1"})
+	case t.Number < next:
+		return fault.New(fault.NumberTaken, "ticket number %d is taken; the next one is %d", t.Number, next)
+	case t.Number > next:
+		err := &fault.Error{Kind: fault.OutOfOrder, Message: fmt.Sprintf("ticket number %d is too high; the next one is %d", t.Number, next), Expected: next}
+		return err
+	}
+	return nil
+}
+
+// validateOpen refuses a ticket that touches what an open ticket touches,
+// unless it supersedes that ticket and covers all of it.
+func (s *State) validateOpen(t *Ticket) error {
+	services, routes := t.serviceNames(), t.routeNames()
+	if t.Supersedes != 0 {
+		open, ok := s.Open[t.Supersedes]
+		if !ok {
+			return fault.New(fault.NotFound, "ticket %d supersedes ticket %d, which is not open", t.Number, t.Supersedes)
+		}
+		for name := range open.Before.Services {
+			if !slices.Contains(services, name) {
+				return fault.New(fault.OpenMove, "ticket %d supersedes ticket %d but does not cover service %q", t.Number, t.Supersedes, name)
+			}
+		}
+	}
+	for number, open := range s.Open {
+		if number == t.Supersedes {
+			continue
+		}
+		for _, name := range services {
+			if open.Touches(name) {
+				return fault.New(fault.OpenMove, "service %q is being moved by open ticket %d", name, number)
+			}
+		}
+		for _, name := range routes {
+			if _, ok := open.Before.Routes[name]; ok {
+				return fault.New(fault.OpenMove, "route %q is being changed by open ticket %d", name, number)
+			}
+		}
+		for i := range t.Routes {
+			if open.Touches(t.Routes[i].Service) {
+				return fault.New(fault.OpenMove, "route %q points at service %q, which open ticket %d is moving", t.Routes[i].Name, t.Routes[i].Service, number)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *State) afterSupersede(t *Ticket) *State {
+	if t.Supersedes == 0 {
+		return s
+	}
+	next := s.clone()
+	next.restore(next.Open[t.Supersedes].Before)
+	delete(next.Open, t.Supersedes)
+	return next
+}
+
+func (f *findings) checkSize(t *Ticket) {
+	objects := len(t.serviceNames()) + len(t.routeNames())
+	if objects == 0 {
+		f.add("the ticket changes nothing")
+	}
+	if objects > MaxTicketObjects {
+		f.add("the ticket has %d services and routes; at most %d are allowed", objects, MaxTicketObjects)
+	}
+	f.checkDuplicates("service", t.serviceNames())
+	f.checkDuplicates("route", t.routeNames())
+}
+
+func (f *findings) checkDuplicates(what string, names []string) {
+	seen := map[string]bool{}
+	for _, name := range names {
+		if seen[name] {
+			f.add("%s %q is named twice", what, name)
+		}
+		seen[name] = true
+	}
+}
+
+func (f *findings) checkName(what, name string) {
+	if len(name) > MaxNameLength || !namePattern.MatchString(name) {
+		f.add("%s: name %q is not 1 to %d lower-case letters, digits, '.', '_' or '-'", what, name, MaxNameLength)
+	}
+}
+
+func (f *findings) checkServices(t *Ticket) {
+	for i := range t.Services {
+		service := &t.Services[i]
+		f.checkName("service", service.Name)
+		if len(service.Versions) == 0 {
+			f.add("service %q has no versions", service.Name)
+		}
+		f.checkDuplicates("version", service.Versions)
+		for _, version := range service.Versions {
+			f.checkName(fmt.Sprintf("service %q, version", service.Name), version)
+		}
+		// Summed in 64 bits, so that huge shares cannot wrap round to TotalShare.
+		var sum uint64
+		for version, share := range service.Shares {
+			sum += uint64(share)
+			if !slices.Contains(service.Versions, version) {
+				f.add("service %q gives a share to version %q, which it does not list", service.Name, version)
+			}
+		}
+		if sum != TotalShare {
+			f.add("service %q: shares sum to %d, not %d", service.Name, sum, TotalShare)
+		}
+	}
+}
+
+func (f *findings) checkRoutes(t *Ticket) {
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		f.checkName("route", r.Name)
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			f.add("route %q: path prefix %q does not start with '/'", r.Name, r.PathPrefix)
+		}
+		if r.Class != Urgent && r.Class != Normal && r.Class != Bulk {
+			f.add("route %q: class %q is not urgent, normal or bulk", r.Name, r.Class)
+		}
+		if r.Timeout < 0 {
+			f.add("route %q: timeout is negative", r.Name)
+		}
+		if r.Once && r.Idempotent {
+			f.add("route %q is both idempotent and once", r.Name)
+		}
+	}
+}
+
+func (f *findings) checkMoves(t *Ticket) {
+	var names []string
+	for _, m := range t.Moves {
+		names = append(names, m.Service)
+		if !slices.ContainsFunc(t.Services, func(s Service) bool { return s.Name == m.Service }) {
+			f.add("move of service %q, which the ticket does not hold", m.Service)
+		}
+		if m.Prefer != OnTime && m.Prefer != Careful {
+			f.add("move of service %q: prefer %q is not on-time or careful", m.Service, m.Prefer)
+		}
+		if m.Finish.Before(time.Unix(0, 0)) {
+			f.add("move of service %q has no finish time", m.Service)
+		}
+	}
+	f.checkDuplicates("move of service", names)
+}
+
+// checkAgainst checks what depends on the state that the ticket follows.
+func (f *findings) checkAgainst(s *State, t *Ticket) {
+	for _, name := range t.RemoveServices {
+		if s.Services[name] == nil {
+			f.add("service %q cannot be removed: it does not exist", name)
+		}
+	}
+	for _, name := range t.RemoveRoutes {
+		if s.Routes[name] == nil {
+			f.add("route %q cannot be removed: it does not exist", name)
+		}
+	}
+	for i := range t.Services {
+		f.checkShares(s.Services[t.Services[i].Name], &t.Services[i], t)
+	}
+	f.checkReferences(s, t)
+}
+
+// checkShares refuses traffic for an unproved version without a move. The
+// first version of a service has nothing to move from.
+func (f *findings) checkShares(before, target *Service, t *Ticket) {
+	moving := moves(t, target.Name)
+	if before == nil {
+		if moving {
+			f.add("service %q is new, so there is nothing to move", target.Name)
+		}
+		return
+	}
+	for version, share := range target.Shares {
+		if share > 0 && !moving && !slices.Contains(before.Proved, version) {
+			f.add("version %q of service %q has not been proved; add a move", version, target.Name)
+		}
+	}
+}
+
+// checkReferences checks every route against the services after the ticket,
+// during its moves and when they are done.
+func (f *findings) checkReferences(s *State, t *Ticket) {
+	after := s.clone()
+	for _, name := range t.RemoveRoutes {
+		delete(after.Routes, name)
+	}
+	for _, name := range t.RemoveServices {
+		delete(after.Services, name)
+	}
+	for i := range t.Services {
+		target := &t.Services[i]
+		after.Services[target.Name] = settled(s.Services[target.Name], target)
+	}
+	for i := range t.Routes {
+		after.Routes[t.Routes[i].Name] = &t.Routes[i]
+	}
+	for _, r := range after.Routes {
+		service := after.Services[r.Service]
+		if service == nil {
+			f.add("route %q points at service %q, which does not exist", r.Name, r.Service)
+			continue
+		}
+		if r.Version == "" {
+			continue
+		}
+		if !slices.Contains(service.Versions, r.Version) {
+			f.add("route %q points at version %q, which service %q does not have", r.Name, r.Version, r.Service)
+			continue
+		}
+		before := s.Services[r.Service]
+		if before != nil && !slices.Contains(before.Proved, r.Version) {
+			f.add("route %q points at version %q of service %q, which has not been proved", r.Name, r.Version, r.Service)
+		}
+	}
+	slices.Sort(*f)
+}
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,54 @@
+// Package timeline records what happened on a daemon and merges the records
+// of all daemons in an order that respects causes. It does no I/O.
+package timeline
+
+import "time"
+
+// Kind names what happened. Its text is part of the public API.
+type Kind string
+
+// Kinds of events.
+const (
+	DaemonStarted      Kind = "daemon-started"
+	DaemonReady        Kind = "daemon-ready"
+	DaemonStopping     Kind = "daemon-stopping"
+	LeaseTaken         Kind = "lease-taken"
+	LeaseLost          Kind = "lease-lost"
+	TicketAccepted     Kind = "ticket-accepted"
+	TicketRefused      Kind = "ticket-refused"
+	RevisionApplied    Kind = "revision-applied"
+	RevisionInForce    Kind = "revision-in-force"
+	StepApplied        Kind = "step-applied"
+	BrakeSet           Kind = "brake-set"
+	OutcomeRecorded    Kind = "outcome-recorded"
+	EndpointChanged    Kind = "endpoint-changed"
+	ParentAttached     Kind = "parent-attached"
+	ParentLost         Kind = "parent-lost"
+	ChildAttached      Kind = "child-attached"
+	ChildLost          Kind = "child-lost"
+	PlatformDown       Kind = "platform-down"
+	PlatformUp         Kind = "platform-up"
+	TargetAnnounced    Kind = "target-announced"
+	TargetDraining     Kind = "target-draining"
+	TargetGone         Kind = "target-gone"
+	TargetCrashed      Kind = "target-crashed"
+	RequestQuarantined Kind = "request-quarantined"
+	RequestShed        Kind = "request-shed"
+	FrameRefused       Kind = "frame-refused"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	// Clock is the Lamport clock of the event: a cause has a lower clock than
+	// its effects on any daemon.
+	Clock uint64 `json:"clock"`
+	// At is the daemon's wall clock, for people only.
+	At       time.Time `json:"at"`
+	VM       string    `json:"vm"`
+	Kind     Kind      `json:"kind"`
+	Ticket   uint64    `json:"ticket,omitempty"`
+	Revision uint64    `json:"revision,omitempty"`
+	Epoch    uint64    `json:"epoch,omitempty"`
+	Request  string    `json:"request,omitempty"`
+	Detail   string    `json:"detail,omitempty"`
+}
