--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -17,7 +17,9 @@
 const (
 	Ready State = iota + 1
 	Draining
-	// Gone means that the daemon left or that its relay lost the link to it.
+	// Lost means that a relay lost the link to the daemon.
+	Lost
+	// Gone means that the daemon left.
 	Gone
 )
 
@@ -28,6 +30,8 @@
 		return "ready"
 	case Draining:
 		return "draining"
+	case Lost:
+		return "lost"
 	case Gone:
 		return "gone"
 	}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,131 @@
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// entry is an endpoint and when it left the mesh.
+type entry struct {
+	endpoint Endpoint
+	// ended is when the endpoint became Lost or Gone; zero otherwise.
+	ended time.Time
+}
+
+// Table holds the newest known endpoint of every VM. Entries of VMs that left
+// stay as tombstones, so that an update that was delayed on the way cannot
+// bring them back.
+type Table struct {
+	entries map[string]*entry
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: map[string]*entry{}}
+}
+
+// Merge takes over an endpoint if it is newer than the known one and reports
+// whether it was.
+func (t *Table) Merge(now time.Time, e Endpoint) bool {
+	known, ok := t.entries[e.VM]
+	if ok && !e.Newer(&known.endpoint) {
+		return false
+	}
+	merged := &entry{endpoint: e}
+	if e.State >= Lost {
+		merged.ended = now
+	}
+	t.entries[e.VM] = merged
+	return true
+}
+
+// Get returns the endpoint of the VM.
+func (t *Table) Get(vm string) (Endpoint, bool) {
+	known, ok := t.entries[vm]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return known.endpoint, true
+}
+
+// MarkLost records that the link to the VM's daemon is lost and returns the
+// changed endpoint. It does nothing for a VM that is not live.
+func (t *Table) MarkLost(now time.Time, vm string) (Endpoint, bool) {
+	known, ok := t.entries[vm]
+	if !ok || known.endpoint.State >= Lost {
+		return Endpoint{}, false
+	}
+	known.endpoint.State = Lost
+	known.ended = now
+	return known.endpoint, true
+}
+
+// Live returns the endpoints that are neither lost nor gone, by VM.
+func (t *Table) Live() []Endpoint {
+	return t.filter(func(e *entry) bool { return e.endpoint.State < Lost })
+}
+
+// Lost returns the lost endpoints, by VM.
+func (t *Table) Lost() []Endpoint {
+	return t.filter(func(e *entry) bool { return e.endpoint.State == Lost })
+}
+
+// All returns every endpoint, tombstones included, by VM.
+func (t *Table) All() []Endpoint {
+	return t.filter(func(*entry) bool { return true })
+}
+
+func (t *Table) filter(keep func(*entry) bool) []Endpoint {
+	var found []Endpoint
+	for _, e := range t.entries {
+		if keep(e) {
+			found = append(found, e.endpoint)
+		}
+	}
+	slices.SortFunc(found, func(a, b Endpoint) int { return cmp.Compare(a.VM, b.VM) })
+	return found
+}
+
+// Expire turns endpoints that were lost for longer than lostFor into gone
+// ones, which it returns, and forgets tombstones older than keepGone.
+func (t *Table) Expire(now time.Time, lostFor, keepGone time.Duration) []Endpoint {
+	var expired []Endpoint
+	for _, vm := range slices.Sorted(maps.Keys(t.entries)) {
+		e := t.entries[vm]
+		switch age := now.Sub(e.ended); {
+		case e.endpoint.State == Lost && age >= lostFor:
+			e.endpoint.State = Gone
+			e.ended = now
+			expired = append(expired, e.endpoint)
+		case e.endpoint.State == Gone && age >= keepGone:
+			delete(t.entries, vm)
+		}
+	}
+	return expired
+}
+
+// Digests returns a digest of the live and lost endpoints of each failure
+// domain. Tables with equal digests hold the same entries.
+func (t *Table) Digests() map[string]uint64 {
+	digests := map[string]uint64{}
+	for _, e := range t.entries {
+		if e.endpoint.State == Gone {
+			continue
+		}
+		digests[e.endpoint.Domain] ^= e.endpoint.digest()
+	}
+	return digests
+}
+
+func (e *Endpoint) digest() uint64 {
+	encoded := append([]byte(e.VM), 0)
+	encoded = binary.LittleEndian.AppendUint64(encoded, e.Incarnation)
+	encoded = binary.LittleEndian.AppendUint64(encoded, e.Sequence)
+	encoded = append(encoded, byte(e.State))
+	return xxhash.Sum64(encoded)
+}
