--- /dev/null
+++ b/internal/core/acks.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// statement is the newest statement of a controller about what is in force.
+type statement struct {
+	revision    uint64
+	epoch       uint64
+	members     uint32
+	unreachable []string
+}
+
+// subtreeAck sums up what this node and its children have applied.
+func (n *Node) subtreeAck() *wire.Ack {
+	ack := &wire.Ack{Revision: n.state.Revision, Members: 1}
+	for _, id := range n.childIDs() {
+		c := n.tree.children[id]
+		if c.ack == nil {
+			ack.Revision = 0
+			ack.Members++
+			ack.Laggards = append(ack.Laggards, &wire.Laggard{Vm: c.vm})
+			continue
+		}
+		ack.Revision = min(ack.Revision, c.ack.GetRevision())
+		ack.Members += c.ack.GetMembers()
+		ack.Laggards = append(ack.Laggards, c.ack.GetLaggards()...)
+		if c.ack.GetRevision() < n.state.Revision && len(c.ack.GetLaggards()) == 0 {
+			ack.Laggards = append(ack.Laggards, &wire.Laggard{Vm: c.vm, Revision: c.ack.GetRevision()})
+		}
+	}
+	slices.SortFunc(ack.Laggards, func(a, b *wire.Laggard) int {
+		return cmp.Or(cmp.Compare(a.GetRevision(), b.GetRevision()), cmp.Compare(a.GetVm(), b.GetVm()))
+	})
+	ack.Laggards = ack.Laggards[:min(len(ack.Laggards), maxLaggards)]
+	return ack
+}
+
+// tickAcks reports the subtree to the parent when it changed, and lets the
+// controller state what is in force.
+func (n *Node) tickAcks() {
+	ack := n.subtreeAck()
+	if n.isController() {
+		n.stateInForce(ack)
+		return
+	}
+	if n.tree.parent == nil || proto.Equal(ack, &n.tree.sentAck) {
+		return
+	}
+	n.tree.sentAck.Reset()
+	proto.Merge(&n.tree.sentAck, ack)
+	n.sendUp(&wire.Frame{Body: &wire.Frame_Ack{Ack: ack}})
+}
+
+// stateInForce states that a revision is in force once every reachable member
+// has applied it. Members that are lost are named; members that are live but
+// not below the controller right now hold the statement back until they
+// attach again or are given up.
+func (n *Node) stateInForce(ack *wire.Ack) {
+	live := n.members.Live()
+	if int(ack.GetMembers()) < len(live) || ack.GetRevision() == 0 {
+		return
+	}
+	var unreachable []string
+	for _, e := range n.members.Lost() {
+		unreachable = append(unreachable, e.VM)
+	}
+	s := &n.statement
+	if ack.GetRevision() < s.revision {
+		return
+	}
+	if ack.GetRevision() == s.revision && slices.Equal(unreachable, s.unreachable) {
+		return
+	}
+	advanced := ack.GetRevision() > s.revision
+	*s = statement{revision: ack.GetRevision(), epoch: n.lease.epoch, members: ack.GetMembers(), unreachable: unreachable}
+	if advanced || len(unreachable) == 0 {
+		n.emitInForce()
+	}
+	n.toChildren(n.statementFrame())
+}
+
+func (n *Node) emitInForce() {
+	s := n.statement
+	n.emit(timeline.RevisionInForce, func(e *timeline.Event) {
+		e.Revision = s.revision
+		e.Epoch = s.epoch
+		if len(s.unreachable) > 0 {
+			e.Detail = "unreachable: " + join(s.unreachable)
+		}
+	})
+}
+
+func join(names []string) string {
+	var text string
+	for i, name := range names {
+		if i > 0 {
+			text += ", "
+		}
+		text += name
+	}
+	return text
+}
+
+func (n *Node) statementFrame() *wire.Frame {
+	s := n.statement
+	return &wire.Frame{Body: &wire.Frame_Statement{Statement: &wire.Statement{
+		Revision: s.revision, Epoch: s.epoch, Members: s.members, Unreachable: s.unreachable,
+	}}}
+}
+
+func (n *Node) statementReceived(in *wire.Statement) {
+	s := &n.statement
+	if in.GetRevision() < s.revision || in.GetEpoch() < s.epoch {
+		return
+	}
+	*s = statement{revision: in.GetRevision(), epoch: in.GetEpoch(), members: in.GetMembers(), unreachable: in.GetUnreachable()}
+	n.toChildren(n.statementFrame())
+}
--- /dev/null
+++ b/internal/core/announce.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+const memberPartition = "member"
+
+// announcement is the daemon's entry in the platform's table and what it read
+// of the others' entries. The entries only serve to find a parent: an entry
+// may be of a daemon that died, so it is never handed to the proxies.
+type announcement struct {
+	loaded   bool
+	busy     bool
+	writing  bool
+	found    map[string]member.Endpoint
+	nextRead time.Time
+	// nextWrite is when the own entry is written again.
+	nextWrite time.Time
+	readDelay time.Duration
+}
+
+func memberKey(vm string) platform.Key {
+	return platform.Key{Partition: memberPartition, Sort: vm}
+}
+
+func (n *Node) tickAnnouncement() {
+	a := &n.announce
+	if n.stopping {
+		return
+	}
+	if !a.writing && !n.now.Before(a.nextWrite) {
+		n.writeAnnouncement()
+	}
+	if n.rooted() {
+		a.readDelay = 0
+		return
+	}
+	if !a.busy && !n.now.Before(a.nextRead) {
+		n.readAnnouncements()
+	}
+}
+
+// writeAnnouncement writes the entry whose Rev is the incarnation, so that a
+// late delete for an earlier start cannot remove it.
+func (n *Node) writeAnnouncement() {
+	a := &n.announce
+	self := n.self
+	self.Target = member.Target{}
+	body, err := proto.Marshal(self.ToWire())
+	if err != nil {
+		return
+	}
+	a.writing = true
+	put := platform.Write{Op: platform.Put, Item: platform.Item{Key: memberKey(n.cfg.VM), Rev: n.cfg.Incarnation, Body: body}}
+	n.call(Call{Transact: []platform.Write{put}}, func(r PlatformResult) {
+		a.writing = false
+		a.nextWrite = n.now.Add(n.cfg.Timings.Announce + n.jitter(n.cfg.Timings.Announce/4))
+		if r.Err != nil {
+			a.nextWrite = n.now.Add(callRetry + n.jitter(callRetry))
+		}
+	})
+}
+
+// readAnnouncements reads all entries. While there is no path to the
+// controller it is repeated with growing delays, since a newcomer may have
+// read before the others wrote.
+func (n *Node) readAnnouncements() {
+	a := &n.announce
+	a.busy = true
+	a.readDelay = min(max(2*a.readDelay, callRetry), backoffMax)
+	a.nextRead = n.now.Add(a.readDelay + n.jitter(a.readDelay))
+	found := map[string]member.Endpoint{}
+	n.readMemberPage("", found)
+}
+
+const memberPage = 250
+
+func (n *Node) readMemberPage(after string, found map[string]member.Endpoint) {
+	a := &n.announce
+	query := &QueryCall{Partition: memberPartition, After: after, Limit: memberPage}
+	n.call(Call{Query: query}, func(r PlatformResult) {
+		if r.Err != nil {
+			a.busy = false
+			return
+		}
+		for _, item := range r.Items {
+			var w wire.Endpoint
+			if proto.Unmarshal(item.Body, &w) == nil {
+				found[w.GetVm()] = member.FromWire(&w)
+			}
+			after = item.Key.Sort
+		}
+		if len(r.Items) == memberPage {
+			n.readMemberPage(after, found)
+			return
+		}
+		a.busy = false
+		a.loaded = true
+		a.found = found
+	})
+}
+
+// removeAnnouncement takes the own entry away at a planned stop.
+func (n *Node) removeAnnouncement() { n.deleteAnnouncement(n.cfg.VM, n.cfg.Incarnation) }
+
+// deleteAnnouncement removes the entry of a start of a daemon that left.
+func (n *Node) deleteAnnouncement(vm string, incarnation uint64) {
+	remove := platform.Write{Op: platform.Delete, Condition: platform.IfRev, WantRev: incarnation, Item: platform.Item{Key: memberKey(vm)}}
+	n.call(Call{Transact: []platform.Write{remove}}, func(r PlatformResult) {
+		if unreachable(r.Err) && !n.stopping {
+			n.after(backoffMax, func() { n.deleteAnnouncement(vm, incarnation) })
+		}
+	})
+}
+
+func (n *Node) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(n.cfg.Rand.Int64N(int64(limit)))
+}
+
+// reachableMembers returns the members that this node may attach to: those
+// known from the tree and, while it has no path to the controller, those that
+// only the platform's table names, without the ones that failed lately.
+func (n *Node) reachableMembers() []member.Endpoint {
+	members := n.members.Live()
+	if !n.rooted() {
+		for vm, e := range n.announce.found {
+			if _, known := n.members.Get(vm); !known {
+				members = append(members, e)
+			}
+		}
+	}
+	return n.withoutSuspects(members)
+}
+
+func (n *Node) withoutSuspects(members []member.Endpoint) []member.Endpoint {
+	var kept []member.Endpoint
+	for _, e := range members {
+		if until, ok := n.tree.suspects[e.VM]; ok && n.now.Before(until) {
+			continue
+		}
+		kept = append(kept, e)
+	}
+	return kept
+}
+
--- /dev/null
+++ b/internal/core/endpoints.go
@@ -0,0 +1,188 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/peer"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// endpointsPerFrame keeps a frame of endpoints well below the frame limit.
+const endpointsPerFrame = 1000
+
+// claimSubtree tells a new parent which members are below this node. The own
+// sequence rises, so that every relay that gave this VM up takes it back.
+func (n *Node) claimSubtree() {
+	n.announceSelf()
+	endpoints := []member.Endpoint{n.self}
+	for _, vm := range slices.Sorted(maps.Keys(n.tree.via)) {
+		if e, ok := n.members.Get(vm); ok && vm != n.cfg.VM {
+			endpoints = append(endpoints, e)
+		}
+	}
+	n.sendEndpoints(n.tree.parent.id, endpoints, false)
+}
+
+func (n *Node) sendEndpoints(id peer.LinkID, endpoints []member.Endpoint, bulk bool) {
+	for chunk := range slices.Chunk(endpoints, endpointsPerFrame) {
+		out := &wire.Endpoints{}
+		for i := range chunk {
+			out.Endpoints = append(out.Endpoints, chunk[i].ToWire())
+		}
+		n.effects = append(n.effects, SendFrame{Link: id, Frame: &wire.Frame{Body: &wire.Frame_Endpoints{Endpoints: out}}, Bulk: bulk})
+	}
+}
+
+// sendDifferingEndpoints sends the endpoints of the failure domains whose
+// digest differs from the child's.
+func (n *Node) sendDifferingEndpoints(id peer.LinkID, theirs map[string]uint64) {
+	ours := n.members.Digests()
+	var differing []member.Endpoint
+	for _, e := range n.members.All() {
+		digest, known := theirs[e.Domain]
+		if !known || digest != ours[e.Domain] {
+			differing = append(differing, e)
+		}
+	}
+	if len(differing) > 0 {
+		n.sendEndpoints(id, differing, true)
+	}
+}
+
+// endpointsFromChild merges the entries and remembers that their members are
+// reached through the link.
+func (n *Node) endpointsFromChild(id peer.LinkID, in *wire.Endpoints) {
+	for _, w := range in.GetEndpoints() {
+		vm := w.GetVm()
+		delete(n.tree.missing, vm)
+		if n.tree.via[vm] != id && vm != n.cfg.VM {
+			n.tree.via[vm] = id
+			n.markDirty(vm, id)
+		}
+	}
+	n.mergeEndpoints(id, in.GetEndpoints())
+}
+
+// mergeEndpoints takes over newer entries and passes them on. A node that
+// finds itself given up raises its sequence, which overrides the entry.
+func (n *Node) mergeEndpoints(from peer.LinkID, in []*wire.Endpoint) {
+	for _, w := range in {
+		e := member.FromWire(w)
+		if e.VM == "" || e.State < member.Ready || e.State > member.Gone {
+			continue
+		}
+		if e.VM == n.cfg.VM {
+			n.defendSelf(&e)
+			continue
+		}
+		if !n.members.Merge(n.now, e) {
+			continue
+		}
+		delete(n.tree.missing, e.VM)
+		n.markDirty(e.VM, from)
+		n.publishDue = true
+	}
+}
+
+func (n *Node) defendSelf(e *member.Endpoint) {
+	if n.stopping || !e.Newer(&n.self) {
+		return
+	}
+	if e.Incarnation == n.self.Incarnation {
+		n.self.Sequence = e.Sequence
+		n.announceSelf()
+	}
+}
+
+func (n *Node) markDirty(vm string, from peer.LinkID) { n.tree.dirty[vm] = from }
+
+// spreadEndpoints passes entries on in the next tick.
+func (n *Node) spreadEndpoints(from peer.LinkID, endpoints []member.Endpoint) {
+	for i := range endpoints {
+		n.markDirty(endpoints[i].VM, from)
+	}
+}
+
+// flushEndpoints sends the changed entries to every neighbor but the one they
+// came from. One frame for a tick's changes keeps bursts of churn small.
+func (n *Node) flushEndpoints() {
+	t := &n.tree
+	if len(t.dirty) == 0 {
+		return
+	}
+	neighbors := n.childIDs()
+	if t.parent != nil {
+		neighbors = append(neighbors, t.parent.id)
+	}
+	changed := slices.Sorted(maps.Keys(t.dirty))
+	for _, id := range neighbors {
+		var out []member.Endpoint
+		for _, vm := range changed {
+			if e, ok := n.members.Get(vm); ok && t.dirty[vm] != id {
+				out = append(out, e)
+			}
+		}
+		if len(out) > 0 {
+			n.sendEndpoints(id, out, false)
+		}
+	}
+	clear(t.dirty)
+}
+
+// tickMembers gives up members that stayed away and forgets old ones.
+func (n *Node) tickMembers() {
+	n.markMissing()
+	n.sweepUnclaimed()
+	expired := n.members.Expire(n.now, n.cfg.Timings.AnnounceValid, keepGone)
+	if n.isController() {
+		for _, e := range expired {
+			n.deleteAnnouncement(e.VM, e.Incarnation)
+		}
+	}
+	for vm, until := range n.tree.suspects {
+		if n.now.After(until) {
+			delete(n.tree.suspects, vm)
+		}
+	}
+	n.flushEndpoints()
+}
+
+func (n *Node) markMissing() {
+	for _, vm := range slices.Sorted(maps.Keys(n.tree.missing)) {
+		if n.now.Sub(n.tree.missing[vm]) < n.cfg.Timings.EndpointLost {
+			continue
+		}
+		delete(n.tree.missing, vm)
+		n.markLost(vm)
+	}
+}
+
+func (n *Node) markLost(vm string) {
+	e, changed := n.members.MarkLost(n.now, vm)
+	if !changed {
+		return
+	}
+	n.spreadEndpoints(noLink, []member.Endpoint{e})
+	n.publishDue = true
+}
+
+// sweepUnclaimed lets a new controller give up the members that have not come
+// back below it; the relays that would have noticed may have died too.
+func (n *Node) sweepUnclaimed() {
+	t := &n.tree
+	if t.sweepAt.IsZero() || n.now.Before(t.sweepAt) {
+		return
+	}
+	t.sweepAt = n.now.Add(n.cfg.Timings.AnnounceValid)
+	if !n.isController() {
+		t.sweepAt = t.sweepAt.AddDate(1, 0, 0)
+		return
+	}
+	for _, e := range n.members.Live() {
+		if _, claimed := t.via[e.VM]; !claimed && e.VM != n.cfg.VM {
+			n.markLost(e.VM)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/logread.go
@@ -0,0 +1,261 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+const logPartition = "log"
+
+var (
+	headKey     = platform.Key{Partition: "head", Sort: "head"}
+	snapshotKey = platform.Key{Partition: "snapshot", Sort: "latest"}
+)
+
+// logPoll is the controller's reading of the log.
+type logPoll struct {
+	busy bool
+	// again asks for another poll when the current one ends.
+	again bool
+	next  time.Time
+	// snapshotTried is set once the controller has looked for a stored snapshot.
+	snapshotTried bool
+	// stored is the revision of the newest stored snapshot that is known.
+	stored uint64
+}
+
+func logKey(revision uint64) platform.Key {
+	return platform.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", revision)}
+}
+
+func ticketKey(number uint64) platform.Key {
+	return platform.Key{Partition: "ticket", Sort: fmt.Sprintf("%020d", number)}
+}
+
+// tickLog lets the controller read the log. It is the only reader, so that
+// reads at the platform do not grow with the number of daemons.
+func (n *Node) tickLog() {
+	n.runTimers()
+	if n.lease.held && !n.now.Before(n.poll.next) {
+		n.pollLog()
+	}
+}
+
+// pollLog reads the records after the applied revision.
+func (n *Node) pollLog() {
+	p := &n.poll
+	if !n.lease.held {
+		return
+	}
+	if p.busy {
+		p.again = true
+		return
+	}
+	p.busy = true
+	p.next = n.now.Add(n.cfg.Timings.LogPoll)
+	if !p.snapshotTried {
+		n.readSnapshot()
+		return
+	}
+	n.readLog(n.state.Revision, func(records []*model.Record, err error) {
+		p.busy = false
+		if err != nil {
+			return
+		}
+		if !n.applyRecords(records) {
+			return
+		}
+		if len(records) == logPage || p.again {
+			p.again = false
+			n.pollLog()
+			return
+		}
+		n.logCaughtUp()
+	})
+}
+
+// readLog reads one page of records after the revision.
+func (n *Node) readLog(after uint64, done func([]*model.Record, error)) {
+	query := &QueryCall{Partition: logPartition, After: logKey(after).Sort, Limit: logPage}
+	n.call(Call{Query: query}, func(r PlatformResult) {
+		if r.Err != nil {
+			done(nil, r.Err)
+			return
+		}
+		records := make([]*model.Record, 0, len(r.Items))
+		for _, item := range r.Items {
+			record, err := wire.DecodeRecord(item.Body)
+			if err != nil {
+				done(nil, err)
+				return
+			}
+			records = append(records, record)
+		}
+		done(records, nil)
+	})
+}
+
+// readSnapshot looks for a stored snapshot that is newer than the state, so
+// that a controller without a state does not read the whole log.
+func (n *Node) readSnapshot() {
+	p := &n.poll
+	n.call(Call{Get: &snapshotKey}, func(r PlatformResult) {
+		p.busy = false
+		switch {
+		case fault.Is(r.Err, fault.NotFound):
+			p.snapshotTried = true
+		case r.Err == nil && r.Item.Rev <= n.state.Revision+logPage:
+			p.snapshotTried = true
+			p.stored = r.Item.Rev
+		case r.Err == nil:
+			n.fetchSnapshot(r.Item.Rev)
+			return
+		default:
+			return
+		}
+		n.pollLog()
+	})
+}
+
+func (n *Node) fetchSnapshot(revision uint64) {
+	p := &n.poll
+	p.busy = true
+	n.call(Call{GetObject: snapshotName(revision)}, func(r PlatformResult) {
+		p.busy = false
+		p.snapshotTried = true
+		p.stored = revision
+		if r.Err == nil {
+			n.applySnapshot(r.Body)
+		}
+		// Without the object the log alone holds everything.
+		n.pollLog()
+	})
+}
+
+func snapshotName(revision uint64) string { return fmt.Sprintf("snapshot/%020d", revision) }
+
+func (n *Node) logCaughtUp() {
+	if n.lease.caughtUp {
+		return
+	}
+	n.lease.caughtUp = true
+	n.tree.sweepAt = n.now.Add(n.cfg.Timings.EndpointLost + suspectFor)
+	n.ready.done = true
+	n.emit(timeline.DaemonReady, func(e *timeline.Event) { e.Revision = n.state.Revision })
+	n.dropParent()
+	n.sendWelcomes()
+	n.publishDue = true
+}
+
+// applyRecords applies records in order and passes them on. It reports
+// whether all of them are now part of the state.
+func (n *Node) applyRecords(records []*model.Record) bool {
+	var fresh []*model.Record
+	complete := true
+	for _, r := range records {
+		if r.Revision <= n.state.Revision {
+			continue
+		}
+		next, err := n.state.Apply(r)
+		if err != nil {
+			n.emit(timeline.FrameRefused, detail(err.Error()))
+			complete = false
+			break
+		}
+		n.state = next
+		n.noteApplied(r)
+		fresh = append(fresh, r)
+	}
+	if len(fresh) > 0 {
+		n.remember(fresh)
+		n.stateChanged()
+		n.sendRecords(fresh)
+		n.storeSnapshot()
+	}
+	return complete
+}
+
+func (n *Node) noteApplied(r *model.Record) {
+	n.emit(timeline.RevisionApplied, func(e *timeline.Event) {
+		e.Revision = r.Revision
+		switch {
+		case r.Ticket != nil:
+			e.Ticket = r.Ticket.Number
+		case r.Outcome != nil:
+			e.Ticket = r.Outcome.Ticket
+			e.Detail = string(r.Outcome.Result)
+		}
+	})
+}
+
+// remember keeps the newest records for children that lag.
+func (n *Node) remember(records []*model.Record) {
+	n.recent = append(n.recent, records...)
+	if excess := len(n.recent) - recentRecords; excess > 0 {
+		n.recent = append([]*model.Record(nil), n.recent[excess:]...)
+	}
+}
+
+// applySnapshot replaces the state by a newer one and reports whether it did.
+func (n *Node) applySnapshot(compressed []byte) bool {
+	next, err := wire.DecodeState(compressed)
+	if err != nil {
+		n.emit(timeline.FrameRefused, detail(err.Error()))
+		return false
+	}
+	if next.Revision <= n.state.Revision {
+		return false
+	}
+	n.state = next
+	n.recent = nil
+	n.emit(timeline.RevisionApplied, func(e *timeline.Event) { e.Revision = next.Revision; e.Detail = "snapshot" })
+	n.stateChanged()
+	for _, id := range n.childIDs() {
+		n.syncState(id, n.tree.children[id])
+	}
+	return true
+}
+
+// stateChanged drops the soft state of tickets that ended.
+func (n *Node) stateChanged() {
+	for number := range n.steps {
+		if n.state.Open[number] == nil && number <= n.state.LastTicket {
+			delete(n.steps, number)
+		}
+	}
+	for number := range n.brakes {
+		if n.state.Open[number] == nil && number <= n.state.LastTicket {
+			delete(n.brakes, number)
+		}
+	}
+	n.publishDue = true
+}
+
+// storeSnapshot lets the controller write the state to the object store every
+// snapshotInterval revisions. The table item that names it comes second, so
+// that it never names an object that is missing.
+func (n *Node) storeSnapshot() {
+	p := &n.poll
+	if !n.lease.held || n.state.Revision < p.stored+snapshotInterval {
+		return
+	}
+	state := n.state
+	p.stored = state.Revision
+	body, err := wire.EncodeState(state)
+	if err != nil {
+		return
+	}
+	n.call(Call{PutObject: &ObjectCall{Name: snapshotName(state.Revision), Body: body}}, func(r PlatformResult) {
+		if r.Err != nil {
+			return
+		}
+		put := platform.Write{Op: platform.Put, Item: platform.Item{Key: snapshotKey, Rev: state.Revision}}
+		n.call(Call{Transact: []platform.Write{put}}, func(PlatformResult) {})
+	})
+}
--- /dev/null
+++ b/internal/core/publish.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"maps"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+// publish hands the proxies a new configuration when anything in it changed.
+// All parts come from one Step, so a proxy never sees a mix.
+func (n *Node) publish() {
+	if !n.publishDue || !n.ready.done {
+		return
+	}
+	n.publishDue = false
+	braked := make(map[uint64]bool, len(n.brakes))
+	for number := range n.brakes {
+		braked[number] = true
+	}
+	n.effects = append(n.effects, Publish{Config: &routing.Config{
+		State:     n.state,
+		Steps:     maps.Clone(n.steps),
+		Braked:    braked,
+		Endpoints: n.members.Live(),
+	}})
+}
+
+// Snapshot is what the administration API shows of a node.
+type Snapshot struct {
+	State      *model.State
+	Statement  StatementView
+	Controller string
+	Epoch      uint64
+	IsRoot     bool
+	Parent     string
+	Children   int
+	PlatformUp bool
+	Progress   map[uint64]uint32
+	Members    []MemberView
+}
+
+// StatementView is the newest statement about what is in force.
+type StatementView struct {
+	Revision    uint64
+	Members     uint32
+	Unreachable []string
+}
+
+// MemberView is a member as the node knows it.
+type MemberView struct {
+	VM      string
+	Domain  string
+	Region  string
+	State   string
+	Service string
+	Version string
+}
+
+// View returns a copy of what the administration API shows.
+func (n *Node) View() Snapshot {
+	view := Snapshot{
+		State:      n.state,
+		Statement:  StatementView{Revision: n.statement.revision, Members: n.statement.members, Unreachable: n.statement.unreachable},
+		Controller: n.controller.vm,
+		Epoch:      n.controller.epoch,
+		IsRoot:     n.isController(),
+		Children:   len(n.tree.children),
+		PlatformUp: !n.calls.down,
+		Progress:   map[uint64]uint32{},
+	}
+	if n.tree.parent != nil {
+		view.Parent = n.tree.parent.vm
+	}
+	for number, step := range n.steps {
+		view.Progress[number] = step.Permille
+	}
+	for _, e := range n.members.All() {
+		view.Members = append(view.Members, MemberView{
+			VM: e.VM, Domain: e.Domain, Region: e.Region, State: e.State.String(),
+			Service: e.Target.Service, Version: e.Target.Version,
+		})
+	}
+	return view
+}
