--- /dev/null
+++ b/internal/move/buckets.go
@@ -0,0 +1,101 @@
+package move
+
+import (
+	"math"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+const (
+	firstBound = 250 * time.Microsecond
+	lastBound  = 64 * time.Second
+)
+
+var bounds = makeBounds()
+
+func makeBounds() [LatencyBuckets]time.Duration {
+	var b [LatencyBuckets]time.Duration
+	ratio := math.Pow(float64(lastBound)/float64(firstBound), 1/float64(LatencyBuckets-1))
+	for i := range b {
+		b[i] = time.Duration(float64(firstBound) * math.Pow(ratio, float64(i)))
+	}
+	return b
+}
+
+// BucketBound returns the upper bound of latency bucket i. The bounds are
+// spaced evenly on a log scale, from 0.25 ms to 64 s, a factor of 1.72 apart.
+// The last bucket also holds whatever took longer.
+func BucketBound(i int) time.Duration { return bounds[i] }
+
+// BucketOf returns the index of the bucket that counts the latency.
+func BucketOf(latency time.Duration) int {
+	for i, bound := range bounds {
+		if latency < bound {
+			return i
+		}
+	}
+	return LatencyBuckets - 1
+}
+
+// Add adds the counts of other, which counts under the same key.
+func (s *Sample) Add(other *Sample) {
+	s.Requests += other.Requests
+	s.Errors += other.Errors
+	for i, n := range other.Latency {
+		s.Latency[i] += n
+	}
+}
+
+// SlowerThan counts the requests in buckets above index bucket.
+func (s *Sample) SlowerThan(bucket int) uint32 {
+	var slow uint32
+	for i := bucket + 1; i < LatencyBuckets; i++ {
+		slow += s.Latency[i]
+	}
+	return slow
+}
+
+// ToWire encodes the sample. Trailing zero buckets are left out.
+func (s *Sample) ToWire() *wire.Sample {
+	used := LatencyBuckets
+	for used > 0 && s.Latency[used-1] == 0 {
+		used--
+	}
+	latency := make([]uint32, used)
+	copy(latency, s.Latency[:used])
+	return &wire.Sample{
+		Ticket: s.Key.Ticket, Route: s.Key.Route, Service: s.Key.Service, NewVersion: s.Key.New,
+		Requests: s.Requests, Errors: s.Errors, Latency: latency,
+	}
+}
+
+// SampleFromWire decodes a sample. Counts beyond the last bucket, which a
+// daemon of another release may send, are added to the last bucket.
+func SampleFromWire(w *wire.Sample) Sample {
+	s := Sample{
+		Key:      SampleKey{Ticket: w.GetTicket(), Route: w.GetRoute(), Service: w.GetService(), New: w.GetNewVersion()},
+		Requests: w.GetRequests(),
+		Errors:   w.GetErrors(),
+	}
+	for i, n := range w.GetLatency() {
+		s.Latency[min(i, LatencyBuckets-1)] += n
+	}
+	return s
+}
+
+// MergeSamples sums samples of equal keys, in the order of first appearance.
+func MergeSamples(samples []Sample) []Sample {
+	index := make(map[SampleKey]int, len(samples))
+	var merged []Sample
+	for i := range samples {
+		at, ok := index[samples[i].Key]
+		if !ok {
+			index[samples[i].Key] = len(merged)
+			merged = append(merged, samples[i])
+			continue
+		}
+		merged[at].Add(&samples[i])
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/move/judge.go
@@ -0,0 +1,35 @@
+package move
+
+import "time"
+
+// SampleInterval is how often daemons drain their collectors and send evidence.
+const SampleInterval = 500 * time.Millisecond
+
+// Stage describes how traffic is split while evidence is gathered.
+type Stage struct {
+	// Permille is the progress, of 0 to FullProgress.
+	Permille uint32
+	// Cold is the fraction of the new versions' traffic that cold targets
+	// may be serving, of 0 to 1. Slow requests up to this fraction are expected.
+	Cold float64
+}
+
+// Verdict is a judge's opinion of the new versions.
+type Verdict struct {
+	// Bad is true when the new versions are worse than the old ones. It stays true.
+	Bad bool
+	// Reason names the service, the route and the measure of a bad verdict.
+	Reason string
+	// Doubt is the strongest evidence on any route that a small regression
+	// is present, as a natural logarithm of a likelihood ratio. Negative
+	// values speak for the new versions, zero means no evidence.
+	Doubt float64
+}
+
+// Judge compares the new versions of a ticket with the old ones.
+type Judge interface {
+	// Observe takes the merged samples of one interval.
+	Observe(now time.Time, stage Stage, samples []Sample)
+	// Verdict returns the opinion after the last interval.
+	Verdict() Verdict
+}
--- /dev/null
+++ b/internal/move/route.go
@@ -0,0 +1,97 @@
+package move
+
+const (
+	// relievedPermille is the progress from which the old version carries
+	// much less load for each target than it did at the start.
+	relievedPermille = 250
+	// profileDecay is the weight that the old version's latency profile keeps
+	// for each interval.
+	profileDecay = 0.98
+)
+
+// routeTest gathers the evidence of one route.
+type routeTest struct {
+	old, new Sample
+	// profile is the decayed latency distribution of the old version.
+	profile  [LatencyBuckets]float64
+	errors   *measure
+	slow     *measure
+	stalled  *measure
+	measures []*measure
+}
+
+func newRouteTest() *routeTest {
+	t := &routeTest{
+		errors:  newMeasure("error rate", 1.3, 0.001, 0.01, 0.03, 0.1, 0.3, 0.8),
+		slow:    newMeasure("slow requests", 1.5, 0.03, 0.07, 0.2, 0.5, 0.9),
+		stalled: newMeasure("stalled requests", 1.5, 0.02, 0.05, 0.3, 0.8),
+	}
+	t.measures = []*measure{t.errors, t.slow, t.stalled}
+	return t
+}
+
+func (t *routeTest) add(s *Sample) {
+	if s.Key.New {
+		t.new.Add(s)
+		return
+	}
+	t.old.Add(s)
+}
+
+// flush turns the counts of the interval into evidence.
+func (t *routeTest) flush(stage Stage, weight float64) {
+	if t.old.Requests == 0 && t.new.Requests == 0 {
+		return
+	}
+	relieved := stage.Permille >= relievedPermille
+	t.learn(relieved)
+	base := interval{
+		oldTotal: float64(t.old.Requests),
+		newTotal: float64(t.new.Requests),
+		relieved: relieved,
+	}
+	errors := base
+	errors.oldHits = float64(t.old.Errors)
+	errors.newHits = float64(t.new.Errors)
+	t.errors.observe(errors, weight)
+	if bucket, ok := t.slowBucket(); ok {
+		t.slow.observe(t.slower(base, bucket, stage.Cold), weight)
+		t.stalled.observe(t.slower(base, bucket+stallShift, 0), weight)
+	}
+	t.old, t.new = Sample{}, Sample{}
+}
+
+func (t *routeTest) learn(relieved bool) {
+	if relieved {
+		return
+	}
+	for i, n := range t.old.Latency {
+		t.profile[i] = profileDecay*t.profile[i] + float64(n)
+	}
+}
+
+func (t *routeTest) slower(base interval, bucket int, allowed float64) interval {
+	base.oldHits = float64(t.old.SlowerThan(bucket))
+	base.newHits = float64(t.new.SlowerThan(bucket))
+	base.allowed = allowed
+	return base
+}
+
+// slowBucket is the bucket of the old version's 95th percentile.
+func (t *routeTest) slowBucket() (int, bool) {
+	var total float64
+	for _, n := range t.profile {
+		total += n
+	}
+	if total == 0 {
+		return 0, false
+	}
+	var sum float64
+	for i, n := range t.profile {
+		sum += n
+		if sum >= slowQuantile*total {
+			return i, true
+		}
+	}
+	return LatencyBuckets - 1, true
+}
