--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -42,6 +42,8 @@
 	Service  string `json:"service,omitempty"`
 	Version  string `json:"version,omitempty"`
 	Revision uint64 `json:"revision,omitempty"`
+	// AdminAddress is where the daemon's administration API listens, if known.
+	AdminAddress string `json:"admin_address,omitempty"`
 }
 
 // Status describes the daemon that answers and what it knows of the mesh.
--- /dev/null
+++ b/internal/ticketfile/file.go
@@ -0,0 +1,111 @@
+// Package ticketfile reads and writes tickets as JSON files. Reading is
+// strict: unknown fields, duplicate keys, trailing data and oversized files
+// are refused, and every fault is listed with its JSON path. It does no I/O.
+package ticketfile
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// File is the JSON form of a ticket.
+type File struct {
+	Number         uint64    `json:"number"`
+	Note           string    `json:"note,omitempty"`
+	Services       []Service `json:"services,omitempty"`
+	RemoveServices []string  `json:"remove_services,omitempty"`
+	Routes         []Route   `json:"routes,omitempty"`
+	RemoveRoutes   []string  `json:"remove_routes,omitempty"`
+	Moves          []Move    `json:"moves,omitempty"`
+	Supersedes     uint64    `json:"supersedes,omitempty"`
+}
+
+// Service is the JSON form of a service.
+type Service struct {
+	Name     string            `json:"name"`
+	Versions []string          `json:"versions"`
+	Shares   map[string]uint32 `json:"shares"`
+}
+
+// Route is the JSON form of a route.
+type Route struct {
+	Name       string `json:"name"`
+	Host       string `json:"host,omitempty"`
+	PathPrefix string `json:"path_prefix"`
+	Service    string `json:"service"`
+	Version    string `json:"version,omitempty"`
+	Class      string `json:"class"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Once       bool   `json:"once,omitempty"`
+	// Timeout is a duration with a unit, such as "5s".
+	Timeout string `json:"timeout,omitempty"`
+}
+
+// Move is the JSON form of a move.
+type Move struct {
+	Service string `json:"service"`
+	// Finish is a time in RFC 3339. Files may also give "+90s".
+	Finish string `json:"finish"`
+	Prefer string `json:"prefer"`
+}
+
+// FromTicket returns the JSON form of a ticket.
+func FromTicket(t *model.Ticket) File {
+	f := File{
+		Number: t.Number, Note: t.Note, Supersedes: t.Supersedes,
+		RemoveServices: t.RemoveServices, RemoveRoutes: t.RemoveRoutes,
+	}
+	for i := range t.Services {
+		f.Services = append(f.Services, FromService(&t.Services[i]))
+	}
+	for i := range t.Routes {
+		f.Routes = append(f.Routes, FromRoute(&t.Routes[i]))
+	}
+	for _, m := range t.Moves {
+		f.Moves = append(f.Moves, Move{Service: m.Service, Finish: formatTime(m.Finish), Prefer: string(m.Prefer)})
+	}
+	return f
+}
+
+// FromService returns the JSON form of a service.
+func FromService(s *model.Service) Service {
+	return Service{Name: s.Name, Versions: s.Versions, Shares: s.Shares}
+}
+
+// FromRoute returns the JSON form of a route.
+func FromRoute(r *model.Route) Route {
+	f := Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix,
+		Service: r.Service, Version: r.Version, Class: string(r.Class),
+		Idempotent: r.Idempotent, Once: r.Once,
+	}
+	if r.Timeout != 0 {
+		f.Timeout = r.Timeout.String()
+	}
+	return f
+}
+
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
+// Encode returns the ticket as an indented JSON file. Decode reads it back
+// into a ticket with the same digest.
+func Encode(t *model.Ticket) ([]byte, error) {
+	encoded, err := json.MarshalIndent(FromTicket(t), "", "  ")
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode ticket %d", t.Number)
+	}
+	return append(encoded, '\n'), nil
+}
+
+// Digest identifies the content of a ticket.
+func Digest(t *model.Ticket) (string, error) {
+	encoded, err := wire.EncodeTicket(t)
+	if err != nil {
+		return "", err
+	}
+	return model.Digest(encoded), nil
+}
--- /dev/null
+++ b/internal/ticketfile/values.go
@@ -0,0 +1,164 @@
+package ticketfile
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+)
+
+// resolution is the finest time and duration that a ticket keeps.
+const resolution = time.Millisecond
+
+// object calls the reader of each field, and reports unknown and missing ones.
+func (d *decoder) object(n *node, required []string, readers map[string]func(*node)) {
+	if !n.object {
+		d.add(n.path, "an object is expected")
+		return
+	}
+	seen := map[string]bool{}
+	for _, f := range n.fields {
+		read, known := readers[f.name]
+		if !known {
+			d.add(f.node.path, "unknown field")
+			continue
+		}
+		seen[f.name] = true
+		read(f.node)
+	}
+	for _, name := range required {
+		if !seen[name] {
+			d.add(childPath(n.path, name), "missing")
+		}
+	}
+}
+
+func list[T any](d *decoder, n *node, read func(*node) T) []T {
+	if !n.array {
+		d.add(n.path, "an array is expected")
+		return nil
+	}
+	if len(n.items) > model.MaxTicketObjects {
+		d.add(n.path, "%d items; at most %d are allowed", len(n.items), model.MaxTicketObjects)
+		return nil
+	}
+	var values []T
+	for _, item := range n.items {
+		values = append(values, read(item))
+	}
+	return values
+}
+
+func (d *decoder) text(n *node) string {
+	text, ok := n.value.(string)
+	if !ok {
+		d.add(n.path, "a string is expected")
+	}
+	return text
+}
+
+func (d *decoder) name(n *node) string {
+	text, ok := n.value.(string)
+	if !ok || text == "" || len(text) > model.MaxNameLength {
+		d.add(n.path, "a name of 1 to %d bytes is expected", model.MaxNameLength)
+	}
+	return text
+}
+
+func (d *decoder) pathPrefix(n *node) string {
+	text, ok := n.value.(string)
+	if !ok || !strings.HasPrefix(text, "/") {
+		d.add(n.path, "a path that starts with '/' is expected")
+	}
+	return text
+}
+
+func (d *decoder) boolean(n *node) bool {
+	value, ok := n.value.(bool)
+	if !ok {
+		d.add(n.path, "true or false is expected")
+	}
+	return value
+}
+
+func (d *decoder) choice(n *node, allowed ...string) string {
+	text, ok := n.value.(string)
+	if !ok || !slices.Contains(allowed, text) {
+		d.add(n.path, "one of %s is expected", strings.Join(allowed, ", "))
+	}
+	return text
+}
+
+func (d *decoder) positive(n *node) uint64 {
+	number, ok := n.value.(json.Number)
+	value, err := strconv.ParseUint(number.String(), 10, 64)
+	if !ok || err != nil || value == 0 {
+		d.add(n.path, "a whole number of at least 1 is expected")
+		return 0
+	}
+	return value
+}
+
+func (d *decoder) share(n *node) uint32 {
+	number, ok := n.value.(json.Number)
+	value, err := strconv.ParseUint(number.String(), 10, 32)
+	if !ok || err != nil || value > model.TotalShare {
+		d.add(n.path, "a whole number from 0 to %d is expected", model.TotalShare)
+		return 0
+	}
+	return uint32(value)
+}
+
+func (d *decoder) shares(n *node) map[string]uint32 {
+	if !n.object {
+		d.add(n.path, "an object of versions and percentages is expected")
+		return nil
+	}
+	shares := map[string]uint32{}
+	for _, f := range n.fields {
+		shares[f.name] = d.share(f.node)
+	}
+	return shares
+}
+
+func (d *decoder) duration(n *node) time.Duration {
+	text, _ := n.value.(string)
+	value, err := time.ParseDuration(text)
+	if err != nil || value <= 0 || value%resolution != 0 {
+		d.add(n.path, `a positive duration with a unit, such as "5s", in whole milliseconds is expected`)
+		return 0
+	}
+	return value
+}
+
+// finish reads an absolute time, or one relative to the acceptance. Times are
+// cut to the resolution, so that the digest covers all of the ticket.
+func (d *decoder) finish(n *node) time.Time {
+	text, _ := n.value.(string)
+	if after, relative := strings.CutPrefix(text, "+"); relative {
+		return d.relative(n, after)
+	}
+	var value time.Time
+	// UnmarshalText is stricter than time.Parse, which takes hours of one digit.
+	if err := value.UnmarshalText([]byte(text)); err != nil || value.Year() < 1970 {
+		d.add(n.path, `a time in RFC 3339, such as "2026-12-04T10:00:00Z", or "+90s" is expected`)
+		return time.Time{}
+	}
+	return value.UTC().Truncate(resolution)
+}
+
+func (d *decoder) relative(n *node, text string) time.Time {
+	after, err := time.ParseDuration(text)
+	switch {
+	case err != nil || after <= 0 || after > maxRelative || strings.HasPrefix(text, "+"):
+		d.add(n.path, `a relative time is '+' and a duration of at most %s, such as "+90s"`, maxRelative)
+	case d.options.Accepted.IsZero():
+		d.add(n.path, "a relative time must be resolved before the ticket is sent")
+	default:
+		return d.options.Accepted.Add(after).UTC().Truncate(resolution)
+	}
+	return time.Time{}
+}
