--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
@@ -87,6 +88,11 @@
 	switch {
 	case key.Service == "" || strings.Contains(key.Service, "/"):
 		return fault.New(fault.Invalid, "service name %q of a claim is empty or has a slash", key.Service)
+	case len(key.Service) > MaxServiceBytes:
+		return fault.New(fault.Invalid, "the service name of a claim has %d bytes; at most %d are allowed", len(key.Service), MaxServiceBytes)
+	case !utf8.ValidString(key.Service) || !utf8.ValidString(key.Value) || !utf8.ValidString(digest):
+		// JSON would replace other bytes, so that two keys became one.
+		return fault.New(fault.Invalid, "a claim's service, key or digest is not UTF-8")
 	case key.Value == "":
 		return fault.New(fault.Invalid, "the idempotency key is empty")
 	case len(key.Value) > MaxKeyBytes:
--- a/internal/once/config.go
+++ b/internal/once/config.go
@@ -25,9 +25,11 @@
 	DefaultMaxBackoff = 5 * time.Second
 	// MaxAnswerBytes is the largest body of an answer that is kept.
 	MaxAnswerBytes = 8 << 10
-	// MaxKeyBytes is the longest idempotency key. With the name of its
-	// service it fits into the table's limit of 1024 bytes for a sort key.
-	MaxKeyBytes = 512
+	// MaxKeyBytes is the longest idempotency key and MaxServiceBytes the
+	// longest service name. Together they fit into the table's limit of 1024
+	// bytes for a sort key.
+	MaxKeyBytes     = 512
+	MaxServiceBytes = 256
 	// MaxDigestBytes is the longest request digest.
 	MaxDigestBytes = 128
 )
