--- a/test/caller/body.go
+++ b/test/caller/body.go
@@ -13,34 +13,34 @@
 
 // slowReader yields a body evenly over a time.
 type slowReader struct {
-	ctx      context.Context
-	source   io.Reader
-	interval time.Duration
+	ctx     context.Context
+	source  io.Reader
+	perByte time.Duration
 }
 
 // newBody returns the body of a request: n bytes that depend on the id only.
 func newBody(ctx context.Context, id string, n int64, total time.Duration) io.Reader {
 	source := target.Padding(id, n)
-	chunks := n / slowChunkBytes
-	if total <= 0 || chunks == 0 {
+	if total <= 0 || n == 0 {
 		return source
 	}
-	return &slowReader{ctx: ctx, source: source, interval: total / time.Duration(chunks)}
+	return &slowReader{ctx: ctx, source: source, perByte: total / time.Duration(n)}
 }
 
-// Read waits one interval and yields at most one chunk.
+// Read yields at most one chunk, after the time that the chunk takes.
 func (r *slowReader) Read(p []byte) (int, error) {
-	timer := time.NewTimer(r.interval)
+	if len(p) > slowChunkBytes {
+		p = p[:slowChunkBytes]
+	}
+	n, err := r.source.Read(p)
+	timer := time.NewTimer(time.Duration(n) * r.perByte)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return n, err
 	case <-r.ctx.Done():
 		return 0, r.ctx.Err()
 	}
-	if len(p) > slowChunkBytes {
-		p = p[:slowChunkBytes]
-	}
-	return r.source.Read(p)
 }
 
 // bodyDigest returns the digest of the body that newBody yields.
