--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -152,4 +152,3 @@
 	}
 	return kept
 }
-
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -56,6 +56,8 @@
 	StrikeSeen struct{ Fingerprint uint64 }
 	// Stop starts the planned stop of the daemon.
 	Stop struct{}
+	// Leave ends the planned stop, once no request is in flight.
+	Leave struct{}
 )
 
 func (Tick) isEvent()          {}
@@ -68,6 +70,7 @@
 func (SamplesTaken) isEvent()  {}
 func (StrikeSeen) isEvent()    {}
 func (Stop) isEvent()          {}
+func (Leave) isEvent()         {}
 
 // Effect is something that the daemon has to do.
 type Effect interface{ isEffect() }
--- a/internal/core/logread.go
+++ b/internal/core/logread.go
@@ -30,11 +30,14 @@
 	stored uint64
 }
 
-func logKey(revision uint64) platform.Key {
+// LogKey names the table item of a record.
+func LogKey(revision uint64) platform.Key {
 	return platform.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", revision)}
 }
 
-func ticketKey(number uint64) platform.Key {
+// TicketKey names the table item that the acceptance of a ticket writes: its
+// Rev is the revision of the record and its body the digest of the ticket.
+func TicketKey(number uint64) platform.Key {
 	return platform.Key{Partition: "ticket", Sort: fmt.Sprintf("%020d", number)}
 }
 
@@ -82,7 +85,7 @@
 
 // readLog reads one page of records after the revision.
 func (n *Node) readLog(after uint64, done func([]*model.Record, error)) {
-	query := &QueryCall{Partition: logPartition, After: logKey(after).Sort, Limit: logPage}
+	query := &QueryCall{Partition: logPartition, After: LogKey(after).Sort, Limit: logPage}
 	n.call(Call{Query: query}, func(r PlatformResult) {
 		if r.Err != nil {
 			done(nil, r.Err)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -119,6 +119,8 @@
 		n.strikeSeen(e.Fingerprint)
 	case Stop:
 		n.stop()
+	case Leave:
+		n.leave()
 	}
 	n.publish()
 	return n.effects
@@ -172,6 +174,14 @@
 	n.removeAnnouncement()
 }
 
+// leave tells the others that this daemon is gone, so that nobody waits for it.
+func (n *Node) leave() {
+	n.stopping = true
+	n.self.State = member.Gone
+	n.announceSelf()
+	n.flushEndpoints()
+}
+
 func (n *Node) targetChanged(e TargetChanged) {
 	state := member.Ready
 	if e.State == member.Draining || n.stopping {
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -50,7 +50,7 @@
 // lookUpTicket reads the item that the acceptance of a ticket of this number
 // wrote. It answers a repeated submission, and it resolves a lost answer.
 func (n *Node) lookUpTicket(s *submission) {
-	key := ticketKey(s.ticket.Number)
+	key := TicketKey(s.ticket.Number)
 	n.call(Call{Get: &key}, func(r PlatformResult) {
 		switch {
 		case r.Err == nil && string(r.Item.Body) == s.digest:
@@ -130,7 +130,7 @@
 		n.refuse(s, err)
 		return
 	}
-	number := platform.Item{Key: ticketKey(s.ticket.Number), Rev: record.Revision, Body: []byte(s.digest)}
+	number := platform.Item{Key: TicketKey(s.ticket.Number), Rev: record.Revision, Body: []byte(s.digest)}
 	writes = append(writes, platform.Write{Op: platform.Put, Condition: platform.IfAbsent, Item: number})
 	s.started = true
 	n.call(Call{Transact: writes}, func(r PlatformResult) {
@@ -157,7 +157,7 @@
 	if r.Revision == 1 {
 		head.Condition = platform.IfAbsent
 	}
-	entry := platform.Write{Op: platform.Put, Condition: platform.IfAbsent, Item: platform.Item{Key: logKey(r.Revision), Rev: r.Revision, Body: body}}
+	entry := platform.Write{Op: platform.Put, Condition: platform.IfAbsent, Item: platform.Item{Key: LogKey(r.Revision), Rev: r.Revision, Body: body}}
 	return []platform.Write{head, entry}, nil
 }
 
--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/magnoliamount/magnoliamount/internal/admin"
+	"github.com/magnoliamount/magnoliamount/internal/core"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// Submit commits a ticket.
+func (d *Daemon) Submit(ctx context.Context, t *model.Ticket) (admin.TicketStatus, error) {
+	accepted, err := d.loop.submit(ctx, core.Submit{Ticket: t})
+	if err != nil {
+		return admin.TicketStatus{}, err
+	}
+	status := describeTicket(d.loop.view(), t.Number)
+	status.Revision = accepted.Revision
+	status.Digest = accepted.Digest
+	status.Note = t.Note
+	return status, nil
+}
+
+// Ticket returns the statement about a ticket.
+func (d *Daemon) Ticket(ctx context.Context, number uint64) (admin.TicketStatus, error) {
+	item, err := d.store.Table.Get(ctx, core.TicketKey(number))
+	if err != nil {
+		return admin.TicketStatus{}, err
+	}
+	return d.ticketStatus(ctx, number, item), nil
+}
+
+// Tickets returns the newest tickets first.
+func (d *Daemon) Tickets(ctx context.Context, limit int) ([]admin.TicketStatus, error) {
+	newest := d.loop.view().State.LastTicket
+	after := uint64(0)
+	if newest > uint64(limit) {
+		after = newest - uint64(limit)
+	}
+	key := core.TicketKey(after)
+	items, err := d.store.Table.Query(ctx, key.Partition, key.Sort, limit)
+	if err != nil {
+		return nil, err
+	}
+	var tickets []admin.TicketStatus
+	for i, item := range slices.Backward(items) {
+		tickets = append(tickets, d.ticketStatus(ctx, after+uint64(i)+1, item))
+	}
+	return tickets, nil
+}
+
+func (d *Daemon) ticketStatus(ctx context.Context, number uint64, item platform.Item) admin.TicketStatus {
+	view := d.loop.view()
+	status := describeTicket(view, number)
+	status.Revision = item.Rev
+	status.Digest = string(item.Body)
+	status.InForce = view.Statement.Revision >= item.Rev
+	if record := d.acceptance(ctx, item.Rev); record != nil {
+		status.AcceptedAt = record.At
+		status.Note = record.Ticket.Note
+	}
+	return status
+}
+
+// acceptance reads the record that accepted a ticket, or returns nil.
+func (d *Daemon) acceptance(ctx context.Context, revision uint64) *model.Record {
+	item, err := d.store.Table.Get(ctx, core.LogKey(revision))
+	if err != nil {
+		return nil
+	}
+	record, err := wire.DecodeRecord(item.Body)
+	if err != nil || record.Ticket == nil {
+		return nil
+	}
+	return record
+}
+
+// describeTicket says what the node knows about a ticket.
+func describeTicket(view core.Snapshot, number uint64) admin.TicketStatus {
+	status := admin.TicketStatus{
+		Number: number, State: "open", Members: view.Statement.Members, Applied: view.Statement.Members,
+		Unreachable: view.Statement.Unreachable, Progress: view.Progress[number],
+	}
+	if outcome, ended := view.State.Outcomes[number]; ended {
+		status.State = string(outcome.Result)
+		status.Reason = outcome.Reason
+		status.EndedAt = &outcome.At
+	}
+	return status
+}
+
+// State returns the configuration that the daemon has applied.
+func (d *Daemon) State() *model.State { return d.loop.view().State }
+
+// Status describes the daemon and what it knows of the mesh.
+func (d *Daemon) Status() admin.Status {
+	view := d.loop.view()
+	status := admin.Status{
+		VM: d.settings.VM.Name, Domain: d.settings.VM.FailureDomain, Region: d.settings.VM.Region,
+		Controller: view.Controller, Epoch: view.Epoch, Parent: view.Parent, Children: view.Children,
+		PlatformUp: view.PlatformUp, Ready: true,
+	}
+	if err := d.Ready(); err != nil {
+		status.Ready = false
+		status.Reason = fault.As(err).Message
+	}
+	if view.State != nil {
+		status.Revision = view.State.Revision
+		status.LastTicket = view.State.LastTicket
+		status.OpenTickets = slices.Sorted(maps.Keys(view.State.Open))
+	}
+	for _, m := range view.Members {
+		status.Members = append(status.Members, admin.MemberStatus{
+			VM: m.VM, Domain: m.Domain, Region: m.Region, State: m.State, Service: m.Service, Version: m.Version,
+		})
+	}
+	return status
+}
+
+// Timeline returns this daemon's own events.
+func (d *Daemon) Timeline(filter admin.TimelineFilter) []timeline.Event {
+	return d.events.Events(timeline.Filter{Ticket: filter.Ticket, VM: filter.VM, Request: filter.Request})
+}
+
+// Ready returns nil, or fault.NotReady with the reason.
+func (d *Daemon) Ready() error { return d.loop.readiness() }
+
+var _ admin.Backend = (*Daemon)(nil)
