--- a/test/target/record.go
+++ b/test/target/record.go
@@ -41,7 +41,7 @@
 	Key     string    `json:"key,omitempty"`
 	Start   time.Time `json:"start"`
 	// End, Status, Bytes, Digest and Whole are set in an Ended entry.
-	End    time.Time `json:"end"`
+	End    time.Time `json:"end,omitzero"`
 	Status int       `json:"status,omitempty"`
 	Bytes  int64     `json:"bytes,omitempty"`
 	Digest string    `json:"digest,omitempty"`
