--- /dev/null
+++ b/internal/proxy/answer.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+// ErrorBody is the JSON body of every answer that a daemon makes itself.
+type ErrorBody struct {
+	Kind    fault.Kind `json:"kind"`
+	Message string     `json:"message"`
+	Outcome Outcome    `json:"outcome"`
+	Request string     `json:"request,omitempty"`
+}
+
+// refusal is an answer that a daemon makes itself.
+type refusal struct {
+	status  int
+	outcome Outcome
+	err     error
+	noRetry bool
+	// refused is set when the target takes no requests at the moment.
+	refused bool
+	// crash is the fingerprint of the request if the target died with it.
+	crash uint64
+}
+
+func notRun(status int, err error) *refusal {
+	return &refusal{status: status, outcome: NotRun, err: err}
+}
+
+func unknown(status int, err error) *refusal {
+	return &refusal{status: status, outcome: Unknown, err: err}
+}
+
+// badInput is the answer to headers that parseInput refused.
+func badInput(err error) *refusal {
+	if fault.Is(err, fault.Overloaded) {
+		return notRun(http.StatusRequestHeaderFieldsTooLarge, err)
+	}
+	return notRun(http.StatusBadRequest, err)
+}
+
+// write sends the answer. The request's id may be empty.
+func (a *refusal) write(w http.ResponseWriter, id string) {
+	body := ErrorBody{Kind: fault.KindOf(a.err), Message: a.err.Error(), Outcome: a.outcome, Request: id}
+	if typed := fault.As(a.err); typed != nil {
+		body.Message = typed.Message
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		encoded = []byte("{}")
+	}
+	h := w.Header()
+	setOne(h, OutcomeHeader, string(a.outcome))
+	setOne(h, "Content-Type", "application/json")
+	setOne(h, "Content-Length", strconv.Itoa(len(encoded)))
+	if a.noRetry {
+		setOne(h, NoRetryHeader, "1")
+	}
+	if a.refused {
+		setOne(h, refusedHeader, "1")
+	}
+	if a.crash != 0 {
+		setOne(h, CrashHeader, strconv.FormatUint(a.crash, 16))
+	}
+	w.WriteHeader(a.status)
+	// A caller that has gone away does not need the body.
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,262 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+const (
+	// maxAttempts bounds the targets that one request is sent to.
+	maxAttempts = 3
+	// discardBytes bounds what is read of an answer that is not passed on, in
+	// order to use its connection again.
+	discardBytes = 16 << 10
+)
+
+// attempt is one sending of a request to a target.
+type attempt struct {
+	choice  routing.Choice
+	body    *attemptBody
+	started time.Time
+	result  sendResult
+	// refused is the answer to a failed sending, or nil.
+	refused *refusal
+}
+
+// run sends the request until it has an answer to pass on.
+func (x *exchange) run() {
+	budget := x.snapshot.budgets[x.route.Service.Name]
+	budget.Request(x.o.config.Now())
+	choice, ok := x.first()
+	if !ok {
+		err := fault.New(fault.Unavailable, "service %q has no ready target for the route", x.route.Service.Name)
+		x.refuse(notRun(http.StatusServiceUnavailable, err))
+		return
+	}
+	for {
+		a := x.send(choice)
+		if !x.mayRetry(a) {
+			x.finish(a, false)
+			return
+		}
+		next, ok := x.again(choice)
+		if !ok || len(x.tried) >= maxAttempts || !x.replayable(a) || !budget.Retry(x.o.config.Now()) {
+			x.finish(a, true)
+			return
+		}
+		x.drop(a)
+		x.o.config.Metrics.retried(x.route.Name)
+		choice = next
+	}
+}
+
+func (x *exchange) first() (routing.Choice, bool) {
+	x.o.choosing.Lock()
+	defer x.o.choosing.Unlock()
+	return x.o.chooser.First(x.o.config.Now(), x.route)
+}
+
+func (x *exchange) again(last routing.Choice) (routing.Choice, bool) {
+	x.o.choosing.Lock()
+	defer x.o.choosing.Unlock()
+	return x.o.chooser.Again(x.o.config.Now(), x.route, last.Version, x.tried)
+}
+
+// send carries out one attempt up to the headers of the answer.
+func (x *exchange) send(choice routing.Choice) *attempt {
+	a := &attempt{choice: choice, body: x.source.attempt(), started: x.o.config.Now()}
+	x.tried = append(x.tried, choice.Target)
+	x.version = choice.Version.Name
+	link := x.snapshot.links[choice.Target.Key()]
+	choice.Target.Begin()
+	a.result = link.send(x.ctx, x.outgoing(a, link))
+	x.learn(a)
+	if a.result.err != nil {
+		_ = a.body.Close()
+		choice.Target.End()
+		a.refused = sendFailure(x.ctx, a.result, "the daemon of "+choice.Target.Endpoint.VM)
+	}
+	x.observe(a)
+	return a
+}
+
+func (x *exchange) outgoing(a *attempt, l *link) *http.Request {
+	out := newRequest(x.r, l.address, x.source, a.body)
+	h := out.Header
+	stripOwn(h)
+	setOne(h, RequestHeader, x.in.id)
+	setOne(h, RouteHeader, x.route.Name)
+	setOne(h, ServiceHeader, x.route.Service.Name)
+	setOne(h, VersionHeader, a.choice.Version.Name)
+	if x.route.Class != model.Normal {
+		setOne(h, ClassHeader, string(x.route.Class))
+	}
+	if x.route.Once {
+		setOne(h, OnceHeader, "1")
+	}
+	setRemaining(h, time.Until(x.deadline))
+	setClock(h, x.o.config.Clock)
+	x.expect(h)
+	return out
+}
+
+// expect makes a body that cannot be kept for a retry wait until the inbound
+// daemon admits the request, so that a refusal leaves the body unread.
+func (x *exchange) expect(h http.Header) {
+	fits := x.source.length >= 0 && x.source.length <= replayBytes
+	if x.in.expects || fits {
+		return
+	}
+	setOne(h, "Expect", "100-continue")
+	setOne(h, hopExpectHeader, "1")
+}
+
+// learn updates what is known of the target.
+func (x *exchange) learn(a *attempt) {
+	now := x.o.config.Now()
+	target := a.choice.Target
+	if a.result.refused {
+		target.Refused(now)
+		return
+	}
+	if a.result.err != nil {
+		return
+	}
+	h := a.result.response.Header
+	sawClock(h, x.o.config.Clock)
+	if h.Get(refusedHeader) != "" {
+		target.Refused(now)
+	} else {
+		target.Connected()
+	}
+	if load, err := strconv.ParseFloat(h.Get(LoadHeader), 64); err == nil {
+		target.Report(now, load)
+	}
+	if print, err := strconv.ParseUint(h.Get(CrashHeader), 16, 64); err == nil {
+		x.o.strikes.Add(now, print)
+	}
+}
+
+// outcome is the outcome of an attempt that no target answered, or "".
+func (a *attempt) outcome() Outcome {
+	if a.refused != nil {
+		return a.refused.outcome
+	}
+	return outcomeOf(a.result.response.Header)
+}
+
+// mayRetry reports whether the attempt's outcome allows another attempt.
+func (x *exchange) mayRetry(a *attempt) bool {
+	if x.ctx.Err() != nil {
+		return false
+	}
+	if a.refused == nil && a.result.response.Header.Get(NoRetryHeader) != "" {
+		return false
+	}
+	switch a.outcome() {
+	case NotRun:
+		return !permanent(a)
+	case Unknown:
+		return x.route.Idempotent && !x.quarantined()
+	}
+	return false
+}
+
+// permanent reports whether another target would refuse the request as well.
+func permanent(a *attempt) bool {
+	if a.refused != nil {
+		return false
+	}
+	status := a.result.response.StatusCode
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+// quarantined reports whether the request has crashed too many targets by now.
+func (x *exchange) quarantined() bool {
+	if !x.o.strikes.Any() {
+		return false
+	}
+	print := fingerprint(x.r, x.in.key, x.source.prefix())
+	return x.o.strikes.Quarantined(x.o.config.Now(), print)
+}
+
+// replayable ends the attempt's reading of the body and reports whether the
+// body can be sent again.
+func (x *exchange) replayable(a *attempt) bool {
+	if x.source.empty() {
+		return true
+	}
+	return a.body.giveUp()
+}
+
+// drop ends an attempt whose answer is not passed on.
+func (x *exchange) drop(a *attempt) {
+	if a.refused != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, a.result.response.Body, discardBytes)
+	_ = a.result.response.Body.Close()
+	a.choice.Target.End()
+}
+
+// finish passes on the attempt's answer. An exhausted request was not retried
+// although its outcome allowed it; daemons upstream must not retry it either.
+func (x *exchange) finish(a *attempt, exhausted bool) {
+	setOne(x.w.Header(), RequestHeader, x.in.id)
+	setOne(x.w.Header(), VersionHeader, x.version)
+	if a.refused != nil {
+		a.refused.noRetry = a.refused.noRetry || exhausted
+		x.refuse(a.refused)
+		return
+	}
+	defer a.choice.Target.End()
+	response := a.result.response
+	defer response.Body.Close()
+	h := x.w.Header()
+	copyEndToEnd(h, response.Header)
+	stripOwn(h, OutcomeHeader, NoRetryHeader, CrashHeader, RequestHeader, VersionHeader)
+	if exhausted {
+		setOne(h, NoRetryHeader, "1")
+	}
+	setClock(h, x.o.config.Clock)
+	x.finished(answered(a.outcome()))
+	result := relay(x.w, response, nil)
+	if result.upstream != nil || result.caller != nil {
+		cut()
+	}
+}
+
+func answered(outcome Outcome) Outcome {
+	if outcome == "" {
+		return outcomeAnswered
+	}
+	return outcome
+}
+
+// observe reports the attempt for the judge of the service's open move.
+func (x *exchange) observe(a *attempt) {
+	took := x.o.config.Now().Sub(a.started)
+	x.o.config.Metrics.firstByte(outboundSide, x.route.Name, took)
+	ticket := x.route.Service.Ticket
+	if ticket == 0 || x.route.Version != "" || a.outcome() == NotRun || x.r.Context().Err() != nil {
+		return
+	}
+	observation := move.Observation{
+		Key:     move.SampleKey{Ticket: ticket, Route: x.route.Name, Service: x.route.Service.Name, New: a.choice.Version.New},
+		Latency: took,
+		Failed:  a.outcome() == Unknown,
+	}
+	if a.refused == nil {
+		h := a.result.response.Header
+		observation.Failed = observation.Failed || a.result.response.StatusCode >= http.StatusInternalServerError
+		observation.CrashFingerprint, _ = strconv.ParseUint(h.Get(CrashHeader), 16, 64)
+	}
+	x.o.config.Observer.Observe(observation)
+}
--- /dev/null
+++ b/internal/proxy/body.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+const (
+	// prefixBytes is the part of the body that identifies a request.
+	prefixBytes = 4 << 10
+	// replayBytes bounds the part of the body that is kept for a retry.
+	replayBytes = 64 << 10
+)
+
+// source is a request's body, shared by all attempts to send it. It keeps the
+// first replayBytes, so that an attempt that did not run can be repeated.
+type source struct {
+	body   io.Reader
+	length int64
+	limit  int
+	// reading is held while a read from the caller is in progress.
+	reading sync.Mutex
+	// mu guards what follows.
+	mu       sync.Mutex
+	kept     []byte
+	overflow bool
+	err      error
+}
+
+// newSource returns the source of the request's body. Only the first limit
+// bytes are kept.
+func newSource(r *http.Request, limit int) *source {
+	s := &source{body: r.Body, length: r.ContentLength, limit: limit}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		s.length = 0
+		s.err = io.EOF
+	}
+	return s
+}
+
+func (s *source) empty() bool { return s.length == 0 }
+
+// fill reads until the prefix is known or the body ends.
+func (s *source) fill() error {
+	for {
+		s.mu.Lock()
+		done, err := len(s.kept) >= prefixBytes, s.err
+		s.mu.Unlock()
+		if err == io.EOF || done {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(err, fault.Protocol, "cannot read the request's body")
+		}
+		s.more(prefixBytes, nil)
+	}
+}
+
+// more reads up to limit bytes in all into the kept part. It returns false
+// when the kept part is full, or when the attempt was given up meanwhile.
+func (s *source) more(limit int, a *attemptBody) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	s.mu.Lock()
+	have := len(s.kept)
+	stop := s.err != nil || have >= limit || (a != nil && (a.closed || a.offset < have))
+	s.mu.Unlock()
+	if stop {
+		return
+	}
+	chunk := make([]byte, min(limit-have, prefixBytes))
+	n, err := s.body.Read(chunk)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = append(s.kept, chunk[:n]...)
+	s.err = err
+}
+
+// prefix returns the known part of the first prefixBytes.
+func (s *source) prefix() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept[:min(len(s.kept), prefixBytes)]
+}
+
+// attempt returns a reader of the whole body for one attempt, or nil when a
+// part of it is no longer kept.
+func (s *source) attempt() *attemptBody {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.overflow {
+		return nil
+	}
+	return &attemptBody{source: s}
+}
+
+// attemptBody reads the body for one attempt.
+type attemptBody struct {
+	source *source
+	// offset and closed are guarded by the source's mu.
+	offset int
+	closed bool
+}
+
+// Read returns kept bytes first and then reads from the caller.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	s := a.source
+	for {
+		s.mu.Lock()
+		if a.closed {
+			s.mu.Unlock()
+			return 0, fault.New(fault.Internal, "the attempt has ended")
+		}
+		if a.offset < len(s.kept) {
+			n := copy(p, s.kept[a.offset:])
+			a.offset += n
+			s.mu.Unlock()
+			return n, nil
+		}
+		if err := s.err; err != nil {
+			s.mu.Unlock()
+			return 0, err
+		}
+		if len(s.kept) >= s.limit {
+			s.overflow = true
+			s.mu.Unlock()
+			return a.direct(p)
+		}
+		s.mu.Unlock()
+		s.more(s.limit, a)
+	}
+}
+
+// direct reads past the kept part. No other attempt follows after this.
+func (a *attemptBody) direct(p []byte) (int, error) {
+	s := a.source
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	n, err := s.body.Read(p)
+	if err != nil {
+		s.mu.Lock()
+		s.err = err
+		s.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close ends the attempt: it reads no more from the caller.
+func (a *attemptBody) Close() error {
+	a.source.mu.Lock()
+	defer a.source.mu.Unlock()
+	a.closed = true
+	return nil
+}
+
+// fingerprint identifies a request that crashes its target. It covers the
+// query as well, because the query often selects what the target runs.
+func fingerprint(r *http.Request, key string, prefix []byte) uint64 {
+	d := xxhash.New()
+	// A hash.Hash never returns an error.
+	for _, part := range []string{r.Method, r.URL.RequestURI(), key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(prefix)
+	return d.Sum64()
+}
+
+// requestDigest tells requests that share an idempotency key apart.
+func requestDigest(r *http.Request, prefix []byte, length int64) string {
+	d := sha256.New()
+	for _, part := range []string{r.Method, r.URL.RequestURI(), strconv.FormatInt(length, 10)} {
+		_, _ = io.WriteString(d, part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(prefix)
+	return hex.EncodeToString(d.Sum(nil))
+}
+
+// giveUp ends the attempt and reports whether another one can send the body.
+func (a *attemptBody) giveUp() bool {
+	a.source.mu.Lock()
+	defer a.source.mu.Unlock()
+	a.closed = true
+	return !a.source.overflow
+}
--- /dev/null
+++ b/internal/proxy/config.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/once"
+)
+
+// Clock is the daemon's Lamport clock.
+type Clock interface {
+	// Tick advances the clock and returns its value.
+	Tick() uint64
+	// Saw moves the clock past a value that another process sent.
+	Saw(remote uint64)
+}
+
+// OutboundConfig configures an Outbound. Domain, Random and Observer are
+// required.
+type OutboundConfig struct {
+	// Domain is the daemon's failure domain.
+	Domain string
+	// Random drives the choice of versions and targets. The Outbound owns it.
+	Random   *rand.Rand
+	Observer Observer
+	// Clock may be nil; then no clock is sent.
+	Clock Clock
+	// Metrics may be nil; then nothing is counted.
+	Metrics *Metrics
+	// Now is the time source; nil means time.Now.
+	Now func() time.Time
+}
+
+// InboundConfig configures an Inbound. Observer is required. Claimer is
+// required for once routes, which are refused without it.
+type InboundConfig struct {
+	Claimer  once.Claimer
+	Observer Observer
+	// Clock may be nil; then no clock is sent.
+	Clock Clock
+	// Metrics may be nil; then nothing is counted.
+	Metrics *Metrics
+	// Now is the time source; nil means time.Now.
+	Now func() time.Time
+}
+
+type noClock struct{}
+
+func (noClock) Tick() uint64 { return 0 }
+func (noClock) Saw(uint64)   {}
+
+func clockOr(c Clock) Clock {
+	if c == nil {
+		return noClock{}
+	}
+	return c
+}
+
+func nowOr(now func() time.Time) func() time.Time {
+	if now == nil {
+		return time.Now
+	}
+	return now
+}
--- /dev/null
+++ b/internal/proxy/gate.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+// gate puts goroutines through a target's admission.
+type gate struct {
+	mu        sync.Mutex
+	admission *routing.Admission
+	waiting   map[*routing.Waiter]chan struct{}
+}
+
+func newGate(slots uint32) *gate {
+	return &gate{
+		admission: routing.NewAdmission(int(slots)),
+		waiting:   map[*routing.Waiter]chan struct{}{},
+	}
+}
+
+func (g *gate) resize(now time.Time, slots uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.admission.Resize(now, int(slots)))
+}
+
+// enter waits for a slot. It fails with fault.Overloaded when the request is
+// shed and with fault.Timeout when the context ends first.
+func (g *gate) enter(ctx context.Context, now func() time.Time, class model.Class) (*routing.Waiter, error) {
+	w := &routing.Waiter{Class: class}
+	if deadline, ok := ctx.Deadline(); ok {
+		w.Deadline = deadline
+	}
+	admitted := g.arrive(now(), w)
+	if admitted == nil {
+		return w, verdictError(w.Verdict)
+	}
+	select {
+	case <-admitted:
+		return w, verdictError(w.Verdict)
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admission.Abandon(w) {
+		delete(g.waiting, w)
+	} else if w.Verdict == routing.Admitted {
+		g.wake(g.admission.Leave(now(), w))
+	}
+	return w, fault.Wrap(ctx.Err(), fault.Timeout, "the request waited for a slot until its deadline")
+}
+
+// arrive returns nil when the verdict is known at once, and else a channel
+// that is closed when it is.
+func (g *gate) arrive(now time.Time, w *routing.Waiter) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.admission.Arrive(now, w))
+	if w.Verdict != routing.Waiting {
+		return nil
+	}
+	admitted := make(chan struct{})
+	g.waiting[w] = admitted
+	return admitted
+}
+
+func (g *gate) leave(now time.Time, w *routing.Waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.admission.Leave(now, w))
+}
+
+func (g *gate) load() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Load()
+}
+
+func (g *gate) wake(changed []*routing.Waiter) {
+	for _, w := range changed {
+		close(g.waiting[w])
+		delete(g.waiting, w)
+	}
+}
+
+func verdictError(v routing.Verdict) error {
+	switch v {
+	case routing.Admitted:
+		return nil
+	case routing.ShedDeadline:
+		return fault.New(fault.Overloaded, "the target cannot finish the request before its deadline")
+	}
+	return fault.New(fault.Overloaded, "the target's queue is full")
+}
--- /dev/null
+++ b/internal/proxy/inbound.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+// Inbound takes requests from other daemons and sends them to the target on
+// the same VM. It answers "not run" until SetTarget was called.
+type Inbound struct {
+	config  InboundConfig
+	strikes *routing.Strikes
+	flow    *flow
+	running *running
+	current atomic.Pointer[served]
+	setting sync.Mutex
+}
+
+// served is the current target with its limits.
+type served struct {
+	target member.Target
+	link   *link
+	gate   *gate
+}
+
+// NewInbound returns a handler for the requests of other daemons.
+func NewInbound(config InboundConfig) *Inbound {
+	config.Now = nowOr(config.Now)
+	config.Clock = clockOr(config.Clock)
+	return &Inbound{
+		config:  config,
+		strikes: routing.NewStrikes(),
+		flow:    newFlow(),
+		running: newRunning(),
+	}
+}
+
+// SetTarget replaces the target. The zero value means that there is none.
+// Requests that have begun stay with the target that they started with.
+func (n *Inbound) SetTarget(target member.Target) {
+	n.setting.Lock()
+	defer n.setting.Unlock()
+	old := n.current.Load()
+	if target.Address == "" {
+		n.current.Store(nil)
+	} else if old != nil && sameRun(old.target, target) {
+		old.gate.resize(n.config.Now(), target.Slots)
+		n.current.Store(&served{target: target, link: old.link, gate: old.gate})
+		return
+	} else {
+		n.current.Store(&served{target: target, link: newLink(target.Address, target.Connections), gate: newGate(target.Slots)})
+	}
+	if old != nil {
+		old.link.close()
+	}
+}
+
+func sameRun(a, b member.Target) bool {
+	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service &&
+		a.Version == b.Version && a.Started.Equal(b.Started)
+}
+
+// SetStrikes replaces the crash counts of the whole mesh, by fingerprint.
+func (n *Inbound) SetStrikes(counts map[uint64]uint32) { n.strikes.Set(counts) }
+
+// ServeHTTP forwards the request to the target.
+func (n *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.config.Metrics.begin(inboundSide)
+	defer n.config.Metrics.end(inboundSide)
+	s := &service{n: n, w: w, r: r, served: n.current.Load(), class: classOf(r.Header)}
+	if !n.flow.enter() {
+		refused := notRun(http.StatusServiceUnavailable, fault.New(fault.NotReady, "the daemon is stopping"))
+		refused.refused = true
+		s.refuse(refused)
+		return
+	}
+	defer n.flow.leave()
+	if refused := s.prepare(); refused != nil {
+		s.refuse(refused)
+		return
+	}
+	defer s.cancel()
+	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.class)
+	if err != nil {
+		s.shed(err)
+		return
+	}
+	defer func() { s.served.gate.leave(n.config.Now(), waiter) }()
+	s.serve()
+}
+
+// service is one request at the inbound proxy.
+type service struct {
+	n      *Inbound
+	w      http.ResponseWriter
+	r      *http.Request
+	served *served
+	class  model.Class
+
+	in       input
+	source   *source
+	once     bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	deadline time.Time
+}
+
+// prepare checks the request. It returns the answer to one that may not run.
+func (s *service) prepare() *refusal {
+	if refused := s.checkTarget(); refused != nil {
+		return refused
+	}
+	var err error
+	if s.in, err = parseInput(s.r.Header); err != nil {
+		return badInput(err)
+	}
+	s.n.config.Clock.Saw(s.in.clock)
+	s.once = s.r.Header.Get(OnceHeader) != ""
+	if s.r.Header.Get(hopExpectHeader) != "" {
+		delete(s.r.Header, "Expect")
+		s.in.expects = false
+	}
+	s.source = newSource(s.r, prefixBytes)
+	if s.n.strikes.Any() {
+		if err := s.source.fill(); err != nil {
+			return notRun(http.StatusBadRequest, err)
+		}
+		if s.n.strikes.Quarantined(s.n.config.Now(), s.fingerprint()) {
+			return quarantined()
+		}
+	}
+	s.limitTime()
+	if !s.source.empty() {
+		// Without this the server reads the whole body before it answers. It
+		// fails for HTTP/2, which is full duplex anyway.
+		_ = http.NewResponseController(s.w).EnableFullDuplex()
+	}
+	return nil
+}
+
+// checkTarget refuses a request that was sent for another target, which an
+// outdated endpoint entry at the sender can cause.
+func (s *service) checkTarget() *refusal {
+	var refused *refusal
+	h := s.r.Header
+	switch {
+	case s.served == nil:
+		refused = notRun(http.StatusServiceUnavailable, fault.New(fault.NotReady, "the daemon has no target"))
+	case differs(h.Get(ServiceHeader), s.served.target.Service), differs(h.Get(VersionHeader), s.served.target.Version):
+		refused = notRun(http.StatusServiceUnavailable, fault.New(fault.Stale, "the target is of service %q, version %q",
+			s.served.target.Service, s.served.target.Version))
+	default:
+		return nil
+	}
+	refused.refused = true
+	return refused
+}
+
+func differs(asked, have string) bool { return asked != "" && asked != have }
+
+func (s *service) limitTime() {
+	timeout := model.DefaultTimeout
+	if s.in.hasDeadline {
+		timeout = s.in.remaining
+	}
+	s.deadline = time.Now().Add(timeout)
+	s.ctx, s.cancel = context.WithDeadline(s.r.Context(), s.deadline)
+}
+
+func (s *service) fingerprint() uint64 {
+	return fingerprint(s.r, s.in.key, s.source.prefix())
+}
+
+func (s *service) shed(err error) {
+	reason := "queue"
+	if fault.Is(err, fault.Timeout) {
+		reason = "deadline"
+	}
+	s.n.config.Metrics.wasShed(string(s.class), reason)
+	s.refuse(notRun(http.StatusServiceUnavailable, err))
+}
+
+func (s *service) refuse(refused *refusal) {
+	s.setLoad()
+	s.finished(refused.outcome)
+	refused.write(s.w, s.in.id)
+}
+
+// setLoad reports the target's load and the daemon's clock with the answer.
+func (s *service) setLoad() {
+	setClock(s.w.Header(), s.n.config.Clock)
+	if s.served == nil {
+		return
+	}
+	load := strconv.FormatFloat(s.served.gate.load(), 'f', loadDecimals, 64)
+	setOne(s.w.Header(), LoadHeader, load)
+}
+
+func (s *service) finished(outcome Outcome) {
+	version := ""
+	if s.served != nil {
+		version = s.served.target.Version
+	}
+	s.n.config.Metrics.finished(inboundSide, s.r.Header.Get(RouteHeader), outcome, version)
+}
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts requests for Prometheus. A nil *Metrics counts nothing.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	inFlight *prometheus.GaugeVec
+	shed     *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+}
+
+// Sides of a daemon, in the label "side".
+const (
+	outboundSide = "outbound"
+	inboundSide  = "inbound"
+)
+
+// outcomeAnswered labels the requests that a target answered.
+const outcomeAnswered Outcome = "answered"
+
+// NewMetrics registers the metrics of both proxies.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliamount_requests_total", Help: "Finished requests.",
+		}, []string{"side", "route", "outcome", "version"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "magnoliamount_request_seconds", Help: "Time to the first byte of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"side", "route"}),
+		inFlight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "magnoliamount_requests_in_flight", Help: "Requests in flight.",
+		}, []string{"side"}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliamount_requests_shed_total", Help: "Requests refused for lack of slots or time.",
+		}, []string{"class", "reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliamount_retries_total", Help: "Retries sent.",
+		}, []string{"route"}),
+	}
+	r.MustRegister(m.requests, m.latency, m.inFlight, m.shed, m.retries)
+	return m
+}
+
+func (m *Metrics) begin(side string) {
+	if m != nil {
+		m.inFlight.WithLabelValues(side).Inc()
+	}
+}
+
+func (m *Metrics) end(side string) {
+	if m != nil {
+		m.inFlight.WithLabelValues(side).Dec()
+	}
+}
+
+func (m *Metrics) finished(side, route string, outcome Outcome, version string) {
+	if m != nil {
+		m.requests.WithLabelValues(side, route, string(outcome), version).Inc()
+	}
+}
+
+func (m *Metrics) firstByte(side, route string, took time.Duration) {
+	if m != nil {
+		m.latency.WithLabelValues(side, route).Observe(took.Seconds())
+	}
+}
+
+func (m *Metrics) wasShed(class, reason string) {
+	if m != nil {
+		m.shed.WithLabelValues(class, reason).Inc()
+	}
+}
+
+func (m *Metrics) retried(route string) {
+	if m != nil {
+		m.retries.WithLabelValues(route).Inc()
+	}
+}
--- /dev/null
+++ b/internal/proxy/outbound.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+// Outbound takes requests from callers and sends them to the daemons beside
+// the targets. It answers "not run" until Update and SetReady(nil) were called.
+type Outbound struct {
+	config  OutboundConfig
+	targets *routing.Targets
+	strikes *routing.Strikes
+	current atomic.Pointer[snapshot]
+	// unready holds the reason why requests are refused, or nil.
+	unready atomic.Pointer[error]
+
+	// choosing guards the generator and the chooser.
+	choosing sync.Mutex
+	chooser  *routing.Chooser
+
+	// updating serialises Update.
+	updating sync.Mutex
+}
+
+// snapshot is all that a request uses of a configuration.
+type snapshot struct {
+	table   *routing.Table
+	links   map[routing.TargetKey]*link
+	budgets map[string]*routing.Budget
+}
+
+// NewOutbound returns a handler for callers' requests.
+func NewOutbound(config OutboundConfig) *Outbound {
+	config.Now = nowOr(config.Now)
+	config.Clock = clockOr(config.Clock)
+	if config.Random == nil {
+		config.Random = rand.New(rand.NewPCG(0, 0))
+	}
+	o := &Outbound{
+		config:  config,
+		targets: routing.NewTargets(),
+		strikes: routing.NewStrikes(),
+		chooser: routing.NewChooser(config.Domain, config.Random),
+	}
+	o.SetReady(fault.New(fault.NotReady, "the daemon has no configuration yet"))
+	o.Update(&routing.Config{State: model.NewState()})
+	return o
+}
+
+// Update replaces the configuration. Requests that have begun keep the one
+// that they started with.
+func (o *Outbound) Update(config *routing.Config) {
+	o.updating.Lock()
+	defer o.updating.Unlock()
+	old := o.current.Load()
+	next := &snapshot{
+		table:   routing.NewTable(config, o.targets),
+		links:   make(map[routing.TargetKey]*link, len(config.Endpoints)),
+		budgets: make(map[string]*routing.Budget, len(config.State.Services)),
+	}
+	for i := range config.Endpoints {
+		e := &config.Endpoints[i]
+		key := routing.KeyOf(e)
+		if old != nil && old.links[key] != nil {
+			next.links[key] = old.links[key]
+		} else if e.Target.Service != "" {
+			next.links[key] = newLink(e.InboundAddress, e.Target.Connections)
+		}
+	}
+	for name := range config.State.Services {
+		next.budgets[name] = &routing.Budget{}
+		if old != nil && old.budgets[name] != nil {
+			next.budgets[name] = old.budgets[name]
+		}
+	}
+	o.current.Store(next)
+	if old != nil {
+		closeUnused(old, next)
+	}
+}
+
+func closeUnused(old, next *snapshot) {
+	for key, l := range old.links {
+		if next.links[key] == nil {
+			l.close()
+		}
+	}
+}
+
+// SetReady makes the proxy refuse requests for the reason, or serve them if
+// it is nil.
+func (o *Outbound) SetReady(reason error) {
+	if reason == nil {
+		o.unready.Store(nil)
+		return
+	}
+	o.unready.Store(&reason)
+}
+
+// SetStrikes replaces the crash counts of the whole mesh, by fingerprint.
+func (o *Outbound) SetStrikes(counts map[uint64]uint32) { o.strikes.Set(counts) }
+
+// ServeHTTP forwards the request.
+func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.config.Metrics.begin(outboundSide)
+	defer o.config.Metrics.end(outboundSide)
+	x := &exchange{o: o, w: w, r: r, started: o.config.Now(), snapshot: o.current.Load()}
+	if refused := x.prepare(); refused != nil {
+		x.refuse(refused)
+		return
+	}
+	defer x.cancel()
+	x.run()
+}
+
+// exchange is one request at the outbound proxy.
+type exchange struct {
+	o        *Outbound
+	w        http.ResponseWriter
+	r        *http.Request
+	started  time.Time
+	snapshot *snapshot
+
+	in       input
+	route    *routing.Route
+	source   *source
+	ctx      context.Context
+	cancel   context.CancelFunc
+	deadline time.Time
+	tried    []*routing.Target
+	version  string
+}
+
+// prepare checks the request. It returns the answer to one that may not run.
+func (x *exchange) prepare() *refusal {
+	if reason := x.o.unready.Load(); reason != nil {
+		return notRun(http.StatusServiceUnavailable, fault.Wrap(*reason, fault.NotReady, "the daemon may not serve yet"))
+	}
+	var err error
+	if x.in, err = parseInput(x.r.Header); err != nil {
+		return badInput(err)
+	}
+	if x.in.id == "" {
+		x.in.id = x.o.newID()
+	}
+	x.o.config.Clock.Saw(x.in.clock)
+	if x.route = x.snapshot.table.Match(x.r.Host, x.r.URL.Path); x.route == nil {
+		return notRun(http.StatusNotFound, fault.New(fault.NotFound, "no route matches host %q and path %q", x.r.Host, x.r.URL.Path))
+	}
+	if x.route.Once && !x.in.hasKey {
+		_, err := onceKey(x.in, x.route.Route.Service)
+		return notRun(http.StatusBadRequest, err)
+	}
+	return x.prepareBody()
+}
+
+func (x *exchange) prepareBody() *refusal {
+	x.source = newSource(x.r, replayBytes)
+	if x.o.strikes.Any() {
+		if err := x.source.fill(); err != nil {
+			return notRun(http.StatusBadRequest, err)
+		}
+		print := fingerprint(x.r, x.in.key, x.source.prefix())
+		if x.o.strikes.Quarantined(x.o.config.Now(), print) {
+			return quarantined()
+		}
+	}
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = model.DefaultTimeout
+	}
+	if x.in.hasDeadline {
+		timeout = min(timeout, x.in.remaining)
+	}
+	x.deadline = time.Now().Add(timeout)
+	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
+	if !x.source.empty() {
+		// Without this the server reads the whole body before it answers. It
+		// fails for HTTP/2, which is full duplex anyway.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
+	return nil
+}
+
+func quarantined() *refusal {
+	refused := notRun(http.StatusUnprocessableEntity, fault.New(fault.Invalid, "the request crashed several targets and is quarantined"))
+	refused.noRetry = true
+	return refused
+}
+
+// newID makes a request id.
+func (o *Outbound) newID() string {
+	o.choosing.Lock()
+	defer o.choosing.Unlock()
+	return fmt.Sprintf("%016x", o.config.Random.Uint64())
+}
+
+func (x *exchange) refuse(refused *refusal) {
+	if x.in.id != "" {
+		setOne(x.w.Header(), RequestHeader, x.in.id)
+	}
+	x.finished(refused.outcome)
+	refused.write(x.w, x.in.id)
+}
+
+func (x *exchange) finished(outcome Outcome) {
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	x.o.config.Metrics.finished(outboundSide, route, outcome, x.version)
+}
--- /dev/null
+++ b/internal/proxy/serve.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/once"
+)
+
+// keptAnswerBytes bounds the answer to a once request that is kept.
+const keptAnswerBytes = 128 << 10
+
+// claim is the claim of a once request; the zero value claims nothing.
+type claim struct {
+	claimer once.Claimer
+	key     once.Key
+	attempt string
+}
+
+func (c claim) release() {
+	if c.claimer != nil {
+		c.claimer.Release(c.key, c.attempt)
+	}
+}
+
+func (c claim) finish(response *http.Response, kept *keptAnswer) {
+	if c.claimer == nil || kept.over {
+		return
+	}
+	c.claimer.Finish(c.key, c.attempt, once.Answer{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: kept.body,
+	})
+}
+
+// serve claims and forwards a request that holds a slot.
+func (s *service) serve() {
+	if !s.once {
+		s.forward(claim{})
+		return
+	}
+	granted, refused := s.claim()
+	if refused != nil {
+		s.refuse(refused)
+		return
+	}
+	if granted.claimer == nil {
+		return
+	}
+	if s.ctx.Err() != nil {
+		granted.release()
+		s.refuse(notRun(http.StatusGatewayTimeout, fault.Wrap(s.ctx.Err(), fault.Timeout, "the claim took until the deadline")))
+		return
+	}
+	// A once request that has begun goes on without its caller, so that its
+	// answer is kept for the caller's next attempt.
+	s.cancel()
+	s.ctx, s.cancel = context.WithDeadline(context.WithoutCancel(s.r.Context()), s.deadline)
+	s.forward(granted)
+}
+
+// claim asks for the right to run the request. It returns the zero claim when
+// it has sent a kept answer.
+func (s *service) claim() (claim, *refusal) {
+	key, err := onceKey(s.in, s.served.target.Service)
+	if err != nil {
+		return claim{}, notRun(http.StatusBadRequest, err)
+	}
+	if s.n.config.Claimer == nil {
+		return claim{}, unclaimed(fault.New(fault.Unavailable, "the daemon cannot claim requests"))
+	}
+	if err := s.source.fill(); err != nil {
+		return claim{}, notRun(http.StatusBadRequest, err)
+	}
+	digest := requestDigest(s.r, s.source.prefix(), s.source.length)
+	grant, err := s.n.config.Claimer.Claim(s.ctx, key, digest)
+	if err != nil {
+		return claim{}, claimFailed(err)
+	}
+	switch grant.Decision {
+	case once.Granted:
+		return claim{claimer: s.n.config.Claimer, key: key, attempt: grant.Attempt}, nil
+	case once.Replay:
+		s.replay(grant.Answer)
+		return claim{}, nil
+	}
+	return claim{}, unknown(http.StatusConflict, fault.New(fault.UnknownOutcome, "another attempt holds the key; its answer is not known"))
+}
+
+func claimFailed(err error) *refusal {
+	if fault.Is(err, fault.Invalid) {
+		return notRun(http.StatusUnprocessableEntity, fault.Wrap(err, fault.Invalid, "the key was used for another request"))
+	}
+	return unclaimed(err)
+}
+
+// unclaimed is the answer while the platform is down. Every daemon uses the
+// same platform, so a retry elsewhere would only add load.
+func unclaimed(err error) *refusal {
+	refused := notRun(http.StatusServiceUnavailable, fault.Wrap(err, fault.Unavailable, "the request cannot be claimed"))
+	refused.noRetry = true
+	return refused
+}
+
+// replay sends a kept answer.
+func (s *service) replay(answer *once.Answer) {
+	s.setLoad()
+	h := s.w.Header()
+	setOne(h, OutcomeHeader, string(Ran))
+	if answer.ContentType != "" {
+		setOne(h, "Content-Type", answer.ContentType)
+	}
+	s.finished(Ran)
+	s.w.WriteHeader(answer.Status)
+	// A caller that has gone away can ask again.
+	_, _ = s.w.Write(answer.Body)
+}
+
+// forward sends the request to the target and passes on the answer.
+func (s *service) forward(held claim) {
+	request := &run{address: s.served.link.address, print: s.fingerprint}
+	s.n.running.add(request)
+	defer s.n.running.remove(request)
+	body := s.source.attempt()
+	defer body.Close()
+	begun := s.n.config.Now()
+	result := s.served.link.send(s.ctx, s.outgoing(body))
+	s.n.config.Metrics.firstByte(inboundSide, s.r.Header.Get(RouteHeader), s.n.config.Now().Sub(begun))
+	if result.err != nil {
+		s.failed(result, request, held)
+		return
+	}
+	defer result.response.Body.Close()
+	s.pass(result.response, request, held)
+}
+
+func (s *service) outgoing(body *attemptBody) *http.Request {
+	out := newRequest(s.r, s.served.link.address, s.source, body)
+	stripOwn(out.Header, RequestHeader, RouteHeader, VersionHeader)
+	setRemaining(out.Header, time.Until(s.deadline))
+	setClock(out.Header, s.n.config.Clock)
+	return out
+}
+
+// failed answers a request that got no answer from the target.
+func (s *service) failed(result sendResult, request *run, held claim) {
+	refused := sendFailure(s.ctx, result, "the target")
+	refused.refused = result.refused
+	if refused.outcome == NotRun {
+		held.release()
+	} else if s.ctx.Err() == nil {
+		refused.crash = s.crashed(request)
+	}
+	s.refuse(refused)
+}
+
+func (s *service) crashed(request *run) uint64 {
+	return s.n.running.connectionDied(request, func(print uint64) {
+		s.n.strikes.Add(s.n.config.Now(), print)
+		s.n.config.Observer.Strike(print)
+	})
+}
+
+// pass sends the target's answer on. The headers of daemons are removed: a
+// target may copy them from an answer that it got itself.
+func (s *service) pass(response *http.Response, request *run, held claim) {
+	h := s.w.Header()
+	copyEndToEnd(h, response.Header)
+	stripOwn(h, NoRetryHeader)
+	s.setLoad()
+	s.finished(outcomeAnswered)
+	var kept *keptAnswer
+	if held.claimer != nil {
+		kept = &keptAnswer{limit: keptAnswerBytes}
+	}
+	result := relay(s.w, response, kept)
+	if result.upstream != nil && s.ctx.Err() == nil {
+		s.crashed(request)
+	}
+	if result.upstream == nil && (result.caller == nil || kept.wanted()) {
+		held.finish(response, kept)
+	}
+	if result.upstream != nil || result.caller != nil {
+		cut()
+	}
+}
--- /dev/null
+++ b/internal/proxy/transport.go
@@ -0,0 +1,185 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout is shorter than the idle timeout that servers of daemons
+	// should have (90 s), so that the client closes an idle connection first.
+	idleTimeout = 60 * time.Second
+	// expectTimeout is how long a body waits for "100 Continue".
+	expectTimeout = 2 * time.Second
+	// defaultConnections stands in for an announcement without connections.
+	defaultConnections = 110
+	// ioBufferBytes is the size of a connection's buffers.
+	ioBufferBytes = 8 << 10
+)
+
+// link sends requests to one endpoint over a bounded pool of connections.
+type link struct {
+	address   string
+	transport *http.Transport
+}
+
+func newLink(address string, connections uint32) *link {
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, &dialError{cause: err}
+		}
+		return &countedConn{Conn: conn}, nil
+	}
+	return &link{address: address, transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        int(connections),
+		MaxIdleConns:           int(connections),
+		MaxIdleConnsPerHost:    int(connections),
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  expectTimeout,
+		MaxResponseHeaderBytes: 2 * maxHeaderBytes,
+		ReadBufferSize:         ioBufferBytes,
+		WriteBufferSize:        ioBufferBytes,
+	}}
+}
+
+func (l *link) close() { l.transport.CloseIdleConnections() }
+
+// dialError marks the failures after which no connection existed.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return e.cause.Error() }
+func (e *dialError) Unwrap() error { return e.cause }
+
+// countedConn counts the bytes that were handed to the network.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write counts what is written.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// sent tells whether any byte of a request was handed to the network.
+type sent struct {
+	mu    sync.Mutex
+	conn  *countedConn
+	base  int64
+	wrote bool
+}
+
+func (s *sent) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*countedConn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle()
+	if !ok {
+		s.wrote = true
+		return
+	}
+	s.conn = conn
+	s.base = conn.written.Load()
+}
+
+func (s *sent) settle() {
+	if s.conn != nil && s.conn.written.Load() != s.base {
+		s.wrote = true
+	}
+}
+
+// any reports whether a byte may have reached the endpoint.
+func (s *sent) any() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle()
+	return s.wrote
+}
+
+// sendResult is the result of one round trip. Exactly one of response and err is set.
+type sendResult struct {
+	response *http.Response
+	err      error
+	// wrote is false when surely no byte of the request reached the endpoint.
+	wrote bool
+	// refused is true when no connection could be opened.
+	refused bool
+}
+
+// send carries out one round trip. It never sends the request a second time.
+func (l *link) send(ctx context.Context, r *http.Request) sendResult {
+	var record sent
+	trace := &httptrace.ClientTrace{GotConn: record.gotConn}
+	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
+	response, err := l.transport.RoundTrip(r)
+	if err == nil {
+		return sendResult{response: response, wrote: true}
+	}
+	var dialed *dialError
+	wrote := record.any()
+	refused := errors.As(err, &dialed) && !wrote && ctx.Err() == nil
+	return sendResult{err: err, wrote: wrote, refused: refused}
+}
+
+// newRequest builds the request of one attempt. http.Transport repeats a
+// request by itself if its method is safe or if it has an idempotency key, and
+// if its body is nil or can be rewound. A non-nil body without GetBody and a
+// key in a spelling that http.Transport does not look for prevent that.
+func newRequest(r *http.Request, address string, src *source, body *attemptBody) *http.Request {
+	out := &http.Request{
+		Method: r.Method, URL: cloneURL(r, address), Host: r.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header:        make(http.Header, len(r.Header)+8),
+		ContentLength: src.length,
+	}
+	copyEndToEnd(out.Header, r.Header)
+	hideKey(out.Header, KeyHeader, "idempotency-key")
+	hideKey(out.Header, "X-Idempotency-Key", "x-idempotency-key")
+	switch {
+	case !src.empty():
+		out.Body = body
+		out.Trailer = r.Trailer
+	case safeMethod(r.Method):
+		out.Body = unrepeatable{}
+	}
+	return out
+}
+
+func hideKey(h http.Header, name, spelling string) {
+	if values, ok := h[name]; ok {
+		delete(h, name)
+		h[spelling] = values
+	}
+}
+
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// unrepeatable is an empty body that http.Transport cannot rewind.
+type unrepeatable struct{}
+
+func (unrepeatable) Read([]byte) (int, error) { return 0, io.EOF }
+func (unrepeatable) Close() error             { return nil }
--- /dev/null
+++ b/internal/routing/choose.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// maxEjectedPart bounds the ejected part of a version's targets. When more
+// refuse connections, the fault is more likely on this side, and all are used.
+const maxEjectedPart = 0.5
+
+// Choice is a chosen target and its version.
+type Choice struct {
+	Version *Version
+	Target  *Target
+}
+
+// Chooser chooses versions and targets for one daemon. It is not safe for
+// use by several goroutines, because its generator is not.
+type Chooser struct {
+	domain string
+	random *rand.Rand
+}
+
+// NewChooser returns a chooser for a daemon in the failure domain.
+func NewChooser(domain string, random *rand.Rand) *Chooser {
+	return &Chooser{domain: domain, random: random}
+}
+
+// First chooses for the first attempt of a request. It returns false when the
+// service has no ready target that may take the request.
+func (c *Chooser) First(now time.Time, r *Route) (Choice, bool) {
+	version := c.chooseVersion(r)
+	if version == nil {
+		return Choice{}, false
+	}
+	target := c.chooseTarget(now, version.Targets)
+	return Choice{Version: version, Target: target}, target != nil
+}
+
+// Again chooses for a retry, leaving out the targets that were tried. When
+// the version has none left, the retry goes to versions that are not new, so
+// that retries do not add to the share of a new version.
+func (c *Chooser) Again(now time.Time, r *Route, last *Version, tried []*Target) (Choice, bool) {
+	if left := without(last.Targets, tried); len(left) > 0 {
+		return Choice{Version: last, Target: c.chooseTarget(now, left)}, true
+	}
+	if r.Version != "" {
+		return Choice{}, false
+	}
+	for _, v := range r.Service.Versions {
+		left := without(v.Targets, tried)
+		if v.New || v.Share <= 0 || len(left) == 0 {
+			continue
+		}
+		return Choice{Version: v, Target: c.chooseTarget(now, left)}, true
+	}
+	return Choice{}, false
+}
+
+func without(targets, tried []*Target) []*Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t *Target) bool {
+		return slices.ContainsFunc(tried, func(other *Target) bool { return other.Key() == t.Key() })
+	})
+}
+
+// chooseVersion draws a version by shares. The share of a version without
+// targets falls to the other versions, to those that are not new first.
+func (c *Chooser) chooseVersion(r *Route) *Version {
+	if r.Version != "" {
+		return usable(r.Service.version(r.Version))
+	}
+	drawn := c.draw(r.Service.Versions, func(*Version) bool { return true })
+	if usable(drawn) != nil {
+		return drawn
+	}
+	if v := c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
+		return v
+	}
+	return c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil })
+}
+
+func usable(v *Version) *Version {
+	if v == nil || len(v.Targets) == 0 {
+		return nil
+	}
+	return v
+}
+
+func (c *Chooser) draw(versions []*Version, allowed func(*Version) bool) *Version {
+	total := 0.0
+	for _, v := range versions {
+		if allowed(v) {
+			total += v.Share
+		}
+	}
+	if total <= 0 {
+		return nil
+	}
+	point := c.random.Float64() * total
+	var last *Version
+	for _, v := range versions {
+		if !allowed(v) || v.Share <= 0 {
+			continue
+		}
+		last = v
+		point -= v.Share
+		if point < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// chooseTarget compares two random targets and returns the less busy one.
+func (c *Chooser) chooseTarget(now time.Time, targets []*Target) *Target {
+	targets = withoutEjected(now, targets)
+	switch len(targets) {
+	case 0:
+		return nil
+	case 1:
+		return targets[0]
+	}
+	i := c.random.IntN(len(targets))
+	j := c.random.IntN(len(targets) - 1)
+	if j >= i {
+		j++
+	}
+	return c.better(now, targets[i], targets[j])
+}
+
+func withoutEjected(now time.Time, targets []*Target) []*Target {
+	ejected := 0
+	for _, t := range targets {
+		if t.Ejected(now) {
+			ejected++
+		}
+	}
+	if ejected == 0 || float64(ejected) > maxEjectedPart*float64(len(targets)) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t *Target) bool { return t.Ejected(now) })
+}
+
+// better returns the less busy of two targets. A cold target is passed over
+// with a probability that falls while it warms up.
+func (c *Chooser) better(now time.Time, a, b *Target) *Target {
+	warmA, warmB := a.warmth(now), b.warmth(now)
+	if warmB < warmA && c.random.Float64() >= warmB/warmA {
+		return a
+	}
+	if warmA < warmB && c.random.Float64() >= warmA/warmB {
+		return b
+	}
+	busyA, busyB := a.busyness(now), b.busyness(now)
+	if busyA == busyB {
+		return c.nearer(a, b)
+	}
+	if busyA < busyB {
+		return a
+	}
+	return b
+}
+
+func (c *Chooser) nearer(a, b *Target) *Target {
+	if b.Endpoint.Domain == c.domain && a.Endpoint.Domain != c.domain {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,213 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+)
+
+// Table is what requests are routed with. It is built once for each Config
+// and is immutable, except for the counters of its targets.
+type Table struct {
+	hosts    map[string][]*Route
+	services map[string]*Service
+}
+
+// Route is a configured route with the service that it leads to.
+type Route struct {
+	*model.Route
+	Service *Service
+}
+
+// Service holds the versions of a service and their targets.
+type Service struct {
+	Name string
+	// Ticket is the open ticket that moves the service; zero means none.
+	Ticket   uint64
+	Versions []*Version
+}
+
+// Version is a version of a service with the targets that take its traffic.
+type Version struct {
+	Name string
+	// Share is the effective share in percent, after steps and brakes.
+	Share float64
+	// New is true for a version that gains traffic by the open ticket.
+	New bool
+	// Targets holds the ready targets, limited to the focus for a new version.
+	Targets []*Target
+}
+
+// NewTable builds the table of a configuration. The registry supplies the
+// counters of targets, so that they survive a change of configuration.
+func NewTable(c *Config, targets *Targets) *Table {
+	t := &Table{hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	ready := readyTargets(c.Endpoints, targets)
+	for name := range c.State.Services {
+		t.services[name] = newService(c, name, ready[name])
+	}
+	for _, route := range c.State.Routes {
+		entry := &Route{Route: route, Service: t.services[route.Service]}
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], entry)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, longestPrefixFirst)
+	}
+	return t
+}
+
+func longestPrefixFirst(a, b *Route) int {
+	return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.Name, b.Name))
+}
+
+func readyTargets(endpoints []member.Endpoint, targets *Targets) map[string][]*Target {
+	ready := map[string][]*Target{}
+	keys := make(map[TargetKey]bool, len(endpoints))
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.Target.Service == "" || !e.Serves(e.Target.Service) {
+			continue
+		}
+		target := targets.get(e)
+		keys[target.Key()] = true
+		ready[e.Target.Service] = append(ready[e.Target.Service], target)
+	}
+	targets.keep(keys)
+	return ready
+}
+
+func newService(c *Config, name string, ready []*Target) *Service {
+	service := &Service{Name: name}
+	open := c.State.OpenMove(name)
+	shares := c.State.EffectiveShares(name, func(ticket uint64) float64 { return progress(c, ticket) })
+	gains := map[string]bool{}
+	focus := 0
+	if open != nil {
+		service.Ticket = open.Ticket.Number
+		gains = gaining(open, name)
+		focus = int(c.Steps[service.Ticket].Focus)
+	}
+	for _, version := range c.State.Services[name].Versions {
+		v := &Version{Name: version, Share: shares[version], New: gains[version]}
+		v.Targets = ofVersion(ready, version)
+		if v.New {
+			v.Targets = focused(v.Targets, service.Ticket, focus)
+		}
+		service.Versions = append(service.Versions, v)
+	}
+	return service
+}
+
+// progress is zero for a braked ticket, so that the old shares apply and a
+// version without an old share gets nothing.
+func progress(c *Config, ticket uint64) float64 {
+	if c.Braked[ticket] {
+		return 0
+	}
+	return float64(min(c.Steps[ticket].Permille, move.FullProgress)) / move.FullProgress
+}
+
+func gaining(open *model.OpenTicket, name string) map[string]bool {
+	before := map[string]uint32{}
+	if old := open.Before.Services[name]; old != nil {
+		before = old.Shares
+	}
+	gains := map[string]bool{}
+	for version, share := range open.NewService(name).Shares {
+		gains[version] = share > before[version]
+	}
+	return gains
+}
+
+func ofVersion(ready []*Target, version string) []*Target {
+	var found []*Target
+	for _, target := range ready {
+		if target.Endpoint.Target.Version == version {
+			found = append(found, target)
+		}
+	}
+	return found
+}
+
+// focused returns the first targets in rendezvous order. Every daemon
+// computes the same order, so the same targets take the version's share.
+func focused(targets []*Target, ticket uint64, focus int) []*Target {
+	if focus <= 0 || focus >= len(targets) {
+		return targets
+	}
+	ordered := slices.Clone(targets)
+	slices.SortFunc(ordered, func(a, b *Target) int {
+		return cmp.Or(
+			cmp.Compare(rendezvous(ticket, b.Endpoint.VM), rendezvous(ticket, a.Endpoint.VM)),
+			cmp.Compare(a.Endpoint.VM, b.Endpoint.VM),
+		)
+	})
+	return ordered[:focus]
+}
+
+func rendezvous(ticket uint64, vm string) uint64 {
+	key := binary.LittleEndian.AppendUint64(nil, ticket)
+	return xxhash.Sum64(append(key, vm...))
+}
+
+// Match returns the route of a request, or nil. Routes of the request's host
+// go before routes of every host, and the longest path prefix goes first.
+// The host may hold a port, which is ignored.
+func (t *Table) Match(host, path string) *Route {
+	host = bareHost(host)
+	if route := longestMatch(t.hosts[host], path); route != nil || host == "" {
+		return route
+	}
+	return longestMatch(t.hosts[""], path)
+}
+
+// Service returns the service of the name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+func longestMatch(routes []*Route, path string) *Route {
+	for _, route := range routes {
+		if hasPathPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hasPathPrefix matches whole path segments, so "/order" does not match "/orders".
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func bareHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// NewVersion reports whether the version of the name gains traffic by the
+// service's open ticket.
+func (s *Service) NewVersion(name string) bool {
+	v := s.version(name)
+	return v != nil && v.New
+}
+
+func (s *Service) version(name string) *Version {
+	for _, v := range s.Versions {
+		if v.Name == name {
+			return v
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routing/target.go
@@ -0,0 +1,155 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+)
+
+const (
+	// SlowStart is how long a cold target's part of the traffic rises.
+	SlowStart = 10 * time.Second
+	// coldest is the part that a target takes right after its start.
+	coldest = 0.1
+	// loadFreshness bounds the age of a load report. A target that looked busy
+	// once would otherwise never be chosen, and so never report again.
+	loadFreshness = time.Second
+	// ejectFirst and ejectMax bound how long a target that refuses
+	// connections is left out; the time doubles with each refusal.
+	ejectFirst = time.Second
+	ejectMax   = 10 * time.Second
+	// defaultSlots stands in for an announcement without slots.
+	defaultSlots = 10
+)
+
+// TargetKey names one run of a target.
+type TargetKey struct {
+	VM          string
+	Incarnation uint64
+	Address     string
+}
+
+// Target is an endpoint with what this daemon knows of its load. Its methods
+// may be called at the same time.
+type Target struct {
+	Endpoint member.Endpoint
+	counters *counters
+}
+
+type counters struct {
+	inFlight     atomic.Int64
+	load         atomic.Uint64
+	loadAt       atomic.Int64
+	ejectedUntil atomic.Int64
+	refusals     atomic.Int64
+}
+
+// Targets keeps the counters of targets across configurations.
+type Targets struct {
+	mu    sync.Mutex
+	known map[TargetKey]*counters
+}
+
+// NewTargets returns an empty registry.
+func NewTargets() *Targets { return &Targets{known: map[TargetKey]*counters{}} }
+
+func (t *Targets) get(e *member.Endpoint) *Target {
+	target := &Target{Endpoint: *e}
+	key := target.Key()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known[key] == nil {
+		t.known[key] = &counters{}
+	}
+	target.counters = t.known[key]
+	return target
+}
+
+// keep forgets the targets that are not in the current configuration.
+func (t *Targets) keep(keys map[TargetKey]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.known {
+		if !keys[key] {
+			delete(t.known, key)
+		}
+	}
+}
+
+// Key names the target's run.
+func (t *Target) Key() TargetKey { return KeyOf(&t.Endpoint) }
+
+// KeyOf names the run of the endpoint's target.
+func KeyOf(e *member.Endpoint) TargetKey {
+	return TargetKey{VM: e.VM, Incarnation: e.Incarnation, Address: e.InboundAddress}
+}
+
+// Begin counts a request in flight to the target.
+func (t *Target) Begin() { t.counters.inFlight.Add(1) }
+
+// End ends a request that Begin counted.
+func (t *Target) End() { t.counters.inFlight.Add(-1) }
+
+// Report records the load that the target reported: requests in flight and
+// queued, over slots.
+func (t *Target) Report(now time.Time, load float64) {
+	t.counters.load.Store(math.Float64bits(load))
+	t.counters.loadAt.Store(now.UnixNano())
+}
+
+// Refused leaves the target out for a while after a refused connection.
+func (t *Target) Refused(now time.Time) {
+	if t.Ejected(now) {
+		return
+	}
+	refusals := t.counters.refusals.Add(1)
+	pause := ejectMax
+	if refusals < 5 {
+		pause = min(ejectMax, ejectFirst<<(refusals-1))
+	}
+	t.counters.ejectedUntil.Store(now.Add(pause).UnixNano())
+}
+
+// Connected ends the target's ejection.
+func (t *Target) Connected() {
+	if t.counters.refusals.Load() == 0 {
+		return
+	}
+	t.counters.refusals.Store(0)
+	t.counters.ejectedUntil.Store(0)
+}
+
+// Ejected reports whether the target is left out.
+func (t *Target) Ejected(now time.Time) bool {
+	return now.UnixNano() < t.counters.ejectedUntil.Load()
+}
+
+func (t *Target) slots() float64 {
+	if t.Endpoint.Target.Slots == 0 {
+		return defaultSlots
+	}
+	return float64(t.Endpoint.Target.Slots)
+}
+
+// busyness is the target's occupied part, by its own in-flight requests of
+// this daemon and by the reported load.
+func (t *Target) busyness(now time.Time) float64 {
+	busy := float64(t.counters.inFlight.Load()) / t.slots()
+	if now.UnixNano()-t.counters.loadAt.Load() < int64(loadFreshness) {
+		busy += math.Float64frombits(t.counters.load.Load())
+	}
+	return busy
+}
+
+// warmth is the part of its normal traffic that the target may take.
+func (t *Target) warmth(now time.Time) float64 {
+	started := t.Endpoint.Target.Started
+	if started.IsZero() {
+		return 1
+	}
+	age := now.Sub(started)
+	return min(1, max(coldest, float64(age)/float64(SlowStart)))
+}
