--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -2,4 +2,34 @@
 // carries its requests.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/cli"
+)
+
+// version is set by the build with -ldflags "-X main.version=...".
+var version = "development"
+
+func main() {
+	os.Exit(run())
+}
+
+// run ends the context at the first signal, which starts a graceful shutdown.
+// A second signal ends the process at once.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return cli.Run(ctx, os.Args, cli.Config{
+		Version: version,
+		Stdin:   os.Stdin,
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Now:     time.Now,
+	})
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+// columnGap is the space between the columns of a table, in characters.
+const columnGap = 2
+
+// table collects the rows of a text output.
+type table struct{ rows [][]string }
+
+func (t *table) row(cells ...string) { t.rows = append(t.rows, cells) }
+
+// print writes the value as JSON, or as the table that fill makes.
+func (a *app) print(value any, fill func(*table)) error {
+	if a.json {
+		encoder := json.NewEncoder(a.config.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(value); err != nil {
+			return failed(fault.Wrap(err, fault.Internal, "write the output"))
+		}
+		return nil
+	}
+	var t table
+	fill(&t)
+	writer := tabwriter.NewWriter(a.config.Stdout, 0, 0, columnGap, ' ', 0)
+	for _, row := range t.rows {
+		for i := range row {
+			row[i] = printable(row[i])
+		}
+		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	if err := writer.Flush(); err != nil {
+		return failed(fault.Wrap(err, fault.Internal, "write the output"))
+	}
+	return nil
+}
+
+// printable replaces control characters, which could change the terminal or
+// break the table.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
+func number(n uint64) string {
+	if n == 0 {
+		return "-"
+	}
+	return fmt.Sprint(n)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func clockTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -30,3 +30,24 @@
 	}
 	return b.String()
 }
+
+// Values returns the settings in force by section and key, as the file would
+// give them. Secrets are replaced by a fixed text.
+func Values(s *Settings) map[string]map[string]string {
+	sections := map[string]map[string]string{}
+	for i := range keys {
+		k := &keys[i]
+		value := k.get(s)
+		if value == "" {
+			continue
+		}
+		if k.secret {
+			value = hidden
+		}
+		if sections[k.section] == nil {
+			sections[k.section] = map[string]string{}
+		}
+		sections[k.section][k.name] = value
+	}
+	return sections
+}
