--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/cli"
+	"github.com/magnoliamount/magnoliamount/internal/daemon"
+	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/internal/settings"
 )
 
 // version is set by the build with -ldflags "-X main.version=...".
@@ -31,5 +34,15 @@
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
 		Now:     time.Now,
+
+		RunDaemon: runDaemon,
 	})
 }
+
+func runDaemon(ctx context.Context, s *settings.Settings) error {
+	root, err := logging.New(os.Stderr, s.Log.Level, s.VM.Name)
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx, s, root.Component("daemon"))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -175,7 +175,7 @@
 // record adds an event to the time line and to the log.
 func (d *Daemon) record(e timeline.Event) {
 	stamped := d.events.Append(e)
-	entry := d.logger.Info().Str("component", "timeline").Uint64("clock", stamped.Clock).Str("kind", string(stamped.Kind))
+	entry := d.logger.Info().Str("event", string(stamped.Kind)).Uint64("clock", stamped.Clock)
 	if stamped.Ticket != 0 {
 		entry = entry.Uint64("ticket", stamped.Ticket)
 	}
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,209 @@
+// Package fleet starts the processes of a small mesh on loopback addresses:
+// the stand-in of the platform, and per VM a daemon and a test target. Tests,
+// the demo and the benchmarks use it; the product starts no processes.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/admin"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+// Names of the binaries in Config.Bin.
+const (
+	daemonBinary  = "magnoliamount"
+	standinBinary = "standin"
+	targetBinary  = "target"
+	callerBinary  = "caller"
+)
+
+const (
+	adminToken = "operators-token"
+	peerToken  = "daemons-token"
+)
+
+// Config describes the fleet.
+type Config struct {
+	// Bin is the directory of the binaries.
+	Bin string
+	// Dir takes settings, logs and records.
+	Dir string
+	// Settings is added to every daemon's settings file.
+	Settings string
+}
+
+// Fleet is a running mesh.
+type Fleet struct {
+	config   Config
+	Platform *Process
+	// PlatformAddress is the stand-in's own address.
+	PlatformAddress string
+	// PlatformVia is the address that daemons use, such as a proxy's.
+	PlatformVia string
+
+	mu  sync.Mutex
+	vms map[string]*VM
+	all []*Process
+}
+
+// New starts the stand-in of the platform.
+func New(config Config) (*Fleet, error) {
+	if err := os.MkdirAll(config.Dir, 0o755); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "create %s", config.Dir)
+	}
+	addresses, err := FreeAddresses("127.0.0.1", 1)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{config: config, PlatformAddress: addresses[0], PlatformVia: addresses[0], vms: map[string]*VM{}}
+	f.Platform, err = f.start("standin", standinBinary, "--listen", f.PlatformAddress)
+	if err != nil {
+		return nil, err
+	}
+	return f, WaitListening(f.PlatformAddress, 10*time.Second)
+}
+
+// FreeAddresses returns n addresses of the IP with free ports. They are held
+// open together, so that all differ.
+func FreeAddresses(ip string, n int) ([]string, error) {
+	var addresses []string
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "find a free port on %s", ip)
+		}
+		held = append(held, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// WaitListening waits until the address accepts connections.
+func WaitListening(address string, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fault.New(fault.Timeout, "nothing listens on %s after %s", address, timeout)
+}
+
+// Client returns a client of the administration API that tries the VMs in turn.
+func (f *Fleet) Client(vms ...*VM) (*admin.Client, error) {
+	var servers []string
+	for _, vm := range vms {
+		servers = append(servers, vm.Admin)
+	}
+	return admin.NewClient(admin.ClientConfig{Servers: servers, Token: adminToken})
+}
+
+// VMs returns the VMs in the order of their start.
+func (f *Fleet) VMs() []*VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var vms []*VM
+	for i := range len(f.vms) {
+		for _, vm := range f.vms {
+			if vm.index == i {
+				vms = append(vms, vm)
+			}
+		}
+	}
+	return vms
+}
+
+// VM returns the VM of the name.
+func (f *Fleet) VM(name string) *VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[name]
+}
+
+// WaitReady waits until every daemon serves.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, vm := range f.VMs() {
+		if err := vm.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Path returns a file in the fleet's directory.
+func (f *Fleet) Path(name string) string { return filepath.Join(f.config.Dir, name) }
+
+// Close kills all processes. It is the last step and no planned stop.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	all := f.all
+	f.mu.Unlock()
+	for _, p := range all {
+		p.Kill()
+	}
+	for _, p := range all {
+		_ = p.Wait()
+	}
+}
+
+func (f *Fleet) start(name, binary string, args ...string) (*Process, error) {
+	p, err := startProcess(name, filepath.Join(f.config.Bin, binary), f.Path(name+".log"), args...)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+// StartCaller starts a caller with the arguments; its summary goes to the log
+// file of the name.
+func (f *Fleet) StartCaller(name string, args ...string) (*Process, error) {
+	return f.start(name, callerBinary, args...)
+}
+
+func settingsText(f *Fleet, vm *VM) string {
+	return fmt.Sprintf(`[vm]
+name = %s
+failure_domain = %s
+region = %s
+[listen]
+caller = %s
+inbound = %s
+peer = %s
+admin = %s
+[advertise]
+peer = %s
+inbound = %s
+[peers]
+token = %s
+[platform]
+table_endpoint = http://%s
+table = magnoliamount
+object_endpoint = http://%s
+bucket = magnoliamount
+region = region-1
+access_key = test-access-key
+secret_key = test-secret-key
+[admin]
+token = %s
+%s
+`, vm.Name, vm.Domain, vm.Region, vm.Caller, vm.Inbound, vm.Peer, vm.Admin, vm.PeerVia, vm.InboundVia,
+		peerToken, f.PlatformVia, f.PlatformVia, adminToken, f.config.Settings)
+}
