--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,275 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/core"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+func TestCore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core")
+}
+
+// grid adds n daemons in each of the domains.
+func (m *mesh) grid(domains, n int) {
+	for i := range domains * n {
+		m.add(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("domain-%d", i%domains))
+	}
+}
+
+func (m *mesh) controller() *fakeDaemon {
+	for _, d := range m.daemons {
+		if d.alive && !d.paused && d.node.View().IsRoot {
+			return d
+		}
+	}
+	return nil
+}
+
+func ticket(number uint64) *model.Ticket {
+	name := fmt.Sprintf("service-%d", number)
+	return &model.Ticket{
+		Number:   number,
+		Services: []model.Service{{Name: name, Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}}},
+		Routes:   []model.Route{{Name: name, PathPrefix: "/" + name, Service: name, Class: model.Normal}},
+	}
+}
+
+func moving(number uint64, service string, finish time.Time) *model.Ticket {
+	return &model.Ticket{
+		Number:   number,
+		Services: []model.Service{{Name: service, Versions: []string{"v1", "v2"}, Shares: map[string]uint32{"v2": 100}}},
+		Moves:    []model.Move{{Service: service, Finish: finish, Prefer: model.OnTime}},
+	}
+}
+
+// submit hands a ticket to a daemon and lets time pass until it is answered.
+func (m *mesh) submit(d *fakeDaemon, id uint64, t *model.Ticket) core.Reply {
+	d.handle(core.Submit{ID: id, Ticket: t})
+	for range 100 {
+		if reply, ok := d.replies[id]; ok {
+			return reply
+		}
+		m.run(core.TickInterval)
+	}
+	return core.Reply{Err: fault.New(fault.Timeout, "no reply")}
+}
+
+func (m *mesh) expectRevision(revision uint64) {
+	GinkgoHelper()
+	for _, d := range m.daemons {
+		if d.alive {
+			Expect(d.node.View().State.Revision).To(Equal(revision), d.name)
+			Expect(d.served).To(Equal(revision), d.name+" serves")
+		}
+	}
+	Expect(m.faults).To(BeEmpty())
+}
+
+var _ = Describe("a mesh of nodes", func() {
+	var m *mesh
+
+	BeforeEach(func() {
+		m = newMesh(1)
+		m.grid(3, 8)
+		m.run(8 * time.Second)
+		Expect(m.controller()).NotTo(BeNil())
+	})
+
+	It("puts an accepted ticket in force on every daemon, whichever daemon took it", func() {
+		for i := range uint64(5) {
+			Expect(m.submit(m.daemons[i*4], i, ticket(i+1)).Err).NotTo(HaveOccurred())
+		}
+		m.run(time.Second)
+		m.expectRevision(5)
+		Expect(m.daemons[7].node.View().Statement).To(Equal(core.StatementView{Revision: 5, Members: 24}))
+	})
+
+	It("reads the platform no more often when nothing changes, however many daemons there are", func() {
+		before := m.table.reads + m.table.writes
+		m.run(10 * time.Second)
+		Expect(m.table.reads + m.table.writes - before).To(BeNumerically("<=", 25))
+	})
+
+	It("accepts one of two different tickets that race for a number", func() {
+		first, second := ticket(1), ticket(1)
+		second.Note = "another"
+		m.daemons[0].handle(core.Submit{ID: 1, Ticket: first})
+		m.daemons[9].handle(core.Submit{ID: 2, Ticket: second})
+		m.run(2 * time.Second)
+		a, b := m.daemons[0].replies[1], m.daemons[9].replies[2]
+		Expect((a.Err == nil) != (b.Err == nil)).To(BeTrue())
+		loser := a.Err
+		if loser == nil {
+			loser = b.Err
+		}
+		Expect(fault.KindOf(loser)).To(Equal(fault.NumberTaken))
+		m.expectRevision(1)
+	})
+
+	It("finds out that a ticket was accepted although the answer was lost", func() {
+		m.table.loseAnswers = 1
+		reply := m.submit(m.daemons[3], 1, ticket(1))
+		Expect(reply.Err).NotTo(HaveOccurred())
+		Expect(reply.Accepted.Revision).To(Equal(uint64(1)))
+		Expect(m.submit(m.daemons[5], 2, ticket(1)).Accepted).To(Equal(reply.Accepted))
+		m.run(2 * time.Second)
+		m.expectRevision(1)
+	})
+
+	It("names the expected number when a ticket comes too early", func() {
+		err := m.submit(m.daemons[2], 1, ticket(4)).Err
+		Expect(fault.KindOf(err)).To(Equal(fault.OutOfOrder))
+		Expect(fault.As(err).Expected).To(Equal(uint64(1)))
+	})
+
+	It("accepts tickets and brings them into force while the controller is dead", func() {
+		m.controller().kill()
+		m.run(300 * time.Millisecond)
+		var taker *fakeDaemon
+		for _, d := range m.daemons {
+			if d.alive {
+				taker = d
+			}
+		}
+		Expect(m.submit(taker, 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(10 * time.Second)
+		m.expectRevision(1)
+	})
+
+	It("refuses the writes and steps of a controller that was paused past its lease", func() {
+		old := m.controller()
+		Expect(m.submit(old, 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		old.paused = true
+		for id := range old.links {
+			old.closeLink(id)
+		}
+		m.run(12 * time.Second)
+		now := m.controller()
+		Expect(now).NotTo(BeNil())
+		Expect(now.node.View().Epoch).To(BeNumerically(">", old.node.View().Epoch))
+		old.resume()
+		m.run(5 * time.Second)
+		Expect(old.node.View().IsRoot).To(BeFalse())
+		Expect(m.submit(old, 2, ticket(2)).Err).NotTo(HaveOccurred())
+		m.run(2 * time.Second)
+		m.expectRevision(2)
+	})
+
+	It("lets a restarted daemon serve nothing older than before, also in an outage", func() {
+		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		m.table.down = true
+		d := m.daemons[23]
+		if d == m.controller() {
+			d = m.daemons[22]
+		}
+		d.kill()
+		m.run(time.Second)
+		d.start()
+		m.run(100 * time.Millisecond)
+		Expect(fault.KindOf(d.node.Ready())).To(Equal(fault.NotReady))
+		m.table.down = false
+		m.run(5 * time.Second)
+		Expect(d.node.Ready()).To(Succeed())
+		m.expectRevision(1)
+	})
+
+	It("goes on serving on both sides of a cut and catches up afterwards", func() {
+		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+		side := m.controller().domain
+		m.cut = func(a, b *fakeDaemon) bool { return (a.domain == side) != (b.domain == side) }
+		m.offPlatform = func(d *fakeDaemon) bool { return d.domain != side }
+		m.run(6 * time.Second)
+		Expect(m.submit(m.controller(), 2, ticket(2)).Err).NotTo(HaveOccurred())
+		m.run(2 * time.Second)
+		Expect(m.controller().node.View().Statement.Revision).To(Equal(uint64(2)))
+		Expect(m.controller().node.View().Statement.Unreachable).To(HaveLen(16))
+		m.cut = func(*fakeDaemon, *fakeDaemon) bool { return false }
+		m.offPlatform = func(*fakeDaemon) bool { return false }
+		m.run(15 * time.Second)
+		m.expectRevision(2)
+		Expect(m.controller().node.View().Statement.Unreachable).To(BeEmpty())
+	})
+
+	It("tells every daemon within seconds that an endpoint is lost", func() {
+		victim := m.daemons[13]
+		if victim == m.controller() {
+			victim = m.daemons[14]
+		}
+		victim.handle(core.TargetChanged{Target: member.Target{Service: "orders", Version: "v1", Slots: 10}, State: member.Ready})
+		m.run(time.Second)
+		victim.kill()
+		m.run(5 * time.Second)
+		for _, d := range m.daemons {
+			if d.alive {
+				Expect(d.config.Endpoints).To(HaveLen(23), d.name)
+			}
+		}
+	})
+
+	It("brakes everywhere without the platform and records the take-back when it is back", func() {
+		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+		Expect(m.submit(m.daemons[0], 2, moving(2, "service-1", m.now.Add(time.Minute))).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		m.table.down = true
+		for range 4 {
+			m.daemons[11].handle(core.SamplesTaken{Samples: badSamples(2)})
+			m.run(500 * time.Millisecond)
+		}
+		for _, d := range m.daemons {
+			Expect(d.config.Braked).To(HaveKey(uint64(2)), d.name)
+		}
+		m.run(10 * time.Second)
+		m.table.down = false
+		m.run(5 * time.Second)
+		m.expectRevision(3)
+		Expect(m.daemons[17].node.View().State.Outcomes[2].Result).To(Equal(model.TakenBack))
+	})
+
+	It("refuses a child with a wrong token and survives malformed frames", func() {
+		d := m.daemons[1]
+		d.handle(core.LinkUp{Link: 1 << 63})
+		d.handle(core.FrameReceived{Link: 1 << 63, Frame: &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Vm: "stranger", Token: "guess"}}}})
+		d.handle(core.FrameReceived{Link: 77, Frame: &wire.Frame{}})
+		d.handle(core.FrameReceived{Link: 1<<63 | 5, Frame: &wire.Frame{Body: &wire.Frame_Records{Records: &wire.Records{Records: []*wire.Record{{}}}}}})
+		Expect(d.node.View().Children).To(BeNumerically("<=", 16))
+		m.run(time.Second)
+		m.expectRevision(0)
+	})
+
+	It("comes back after all daemons restart together", func() {
+		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		for _, d := range m.daemons {
+			d.kill()
+		}
+		m.run(time.Second)
+		for _, d := range m.daemons {
+			d.start()
+		}
+		m.run(20 * time.Second)
+		m.expectRevision(1)
+	})
+})
+
+func badSamples(ticket uint64) []move.Sample {
+	sample := func(isNew bool, errors uint32) move.Sample {
+		s := move.Sample{Key: move.SampleKey{Ticket: ticket, Route: "service-1", Service: "service-1", New: isNew}, Requests: 200, Errors: errors}
+		s.Latency[6] = 200
+		return s
+	}
+	return []move.Sample{sample(false, 0), sample(true, 120)}
+}
--- /dev/null
+++ b/internal/core/fakes_test.go
@@ -0,0 +1,336 @@
+package core_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/core"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/peer"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+// fakeTable is the platform's table without a network.
+type fakeTable struct {
+	items   map[platform.Key]platform.Item
+	objects map[string][]byte
+	reads   int
+	writes  int
+	// down refuses everything; loseAnswers applies writes and reports an
+	// unknown outcome for the next so many.
+	down        bool
+	loseAnswers int
+}
+
+func (t *fakeTable) call(c core.Call) core.PlatformResult {
+	if t.down {
+		return core.PlatformResult{Err: fault.New(fault.Unavailable, "outage")}
+	}
+	switch {
+	case c.Get != nil:
+		t.reads++
+		item, ok := t.items[*c.Get]
+		if !ok {
+			return core.PlatformResult{Err: fault.New(fault.NotFound, "no item")}
+		}
+		return core.PlatformResult{Item: item}
+	case c.Query != nil:
+		t.reads++
+		return core.PlatformResult{Items: t.query(*c.Query)}
+	case c.Transact != nil:
+		t.writes++
+		return core.PlatformResult{Err: t.transact(c.Transact)}
+	case c.PutObject != nil:
+		t.objects[c.PutObject.Name] = c.PutObject.Body
+		return core.PlatformResult{}
+	default:
+		body, ok := t.objects[c.GetObject]
+		if !ok {
+			return core.PlatformResult{Err: fault.New(fault.NotFound, "no object")}
+		}
+		return core.PlatformResult{Body: body}
+	}
+}
+
+func (t *fakeTable) query(q core.QueryCall) []platform.Item {
+	var found []platform.Item
+	for key, item := range t.items {
+		if key.Partition == q.Partition && key.Sort > q.After {
+			found = append(found, item)
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Item) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	return found[:min(len(found), q.Limit)]
+}
+
+func (t *fakeTable) transact(writes []platform.Write) error {
+	for i, w := range writes {
+		item, exists := t.items[w.Item.Key]
+		if w.Condition == platform.IfAbsent && exists || w.Condition == platform.IfRev && (!exists || item.Rev != w.WantRev) {
+			return platform.NewConditionError(i)
+		}
+	}
+	for _, w := range writes {
+		switch w.Op {
+		case platform.Put:
+			t.items[w.Item.Key] = w.Item
+		case platform.Delete:
+			delete(t.items, w.Item.Key)
+		}
+	}
+	if t.loseAnswers > 0 {
+		t.loseAnswers--
+		return fault.New(fault.UnknownOutcome, "answer lost")
+	}
+	return nil
+}
+
+// fakeDaemon carries out the effects of one node.
+type fakeDaemon struct {
+	mesh   *mesh
+	name   string
+	domain string
+	node   *core.Node
+	starts uint64
+	alive  bool
+	paused bool
+	// waiting holds events that came while the daemon was paused.
+	waiting  []core.Event
+	config   *routing.Config
+	served   uint64
+	events   []timeline.Event
+	replies  map[uint64]core.Reply
+	accepted peer.LinkID
+	links    map[peer.LinkID]*end
+}
+
+// end is one end of a link.
+type end struct {
+	to   *fakeDaemon
+	toID peer.LinkID
+}
+
+type delivery struct {
+	at   time.Time
+	to   *fakeDaemon
+	life uint64
+	ev   core.Event
+}
+
+// mesh steps a few nodes through simulated time.
+type mesh struct {
+	now     time.Time
+	table   *fakeTable
+	daemons []*fakeDaemon
+	queue   []delivery
+	random  *rand.Rand
+	// cut tells which daemons cannot reach one another.
+	cut func(a, b *fakeDaemon) bool
+	// offPlatform tells which daemons cannot reach the platform.
+	offPlatform func(d *fakeDaemon) bool
+	faults      []string
+	// bytes counts the frames' bytes by receiver.
+	bytes map[string]int
+}
+
+const linkDelay = 2 * time.Millisecond
+
+func newMesh(seed uint64) *mesh {
+	return &mesh{
+		now:         time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		table:       &fakeTable{items: map[platform.Key]platform.Item{}, objects: map[string][]byte{}},
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		cut:         func(*fakeDaemon, *fakeDaemon) bool { return false },
+		offPlatform: func(*fakeDaemon) bool { return false },
+		bytes:       map[string]int{},
+	}
+}
+
+func (m *mesh) add(name, domain string) *fakeDaemon {
+	d := &fakeDaemon{mesh: m, name: name, domain: domain}
+	m.daemons = append(m.daemons, d)
+	d.start()
+	return d
+}
+
+func (d *fakeDaemon) start() {
+	d.starts++
+	d.alive = true
+	d.paused = false
+	d.waiting = nil
+	d.config = nil
+	d.links = map[peer.LinkID]*end{}
+	d.replies = map[uint64]core.Reply{}
+	d.node = core.NewNode(core.Config{
+		VM: d.name, Domain: d.domain, Region: "region-1", Incarnation: uint64(d.mesh.now.UnixMicro()) + d.starts,
+		PeerAddress: d.name, InboundAddress: d.name, Token: "secret", Timings: core.DefaultTimings(),
+		Rand: rand.New(rand.NewPCG(d.mesh.random.Uint64(), 2)),
+	}, d.mesh.now)
+}
+
+func (d *fakeDaemon) kill() {
+	d.alive = false
+	for id := range d.links {
+		d.closeLink(id)
+	}
+}
+
+func (d *fakeDaemon) closeLink(id peer.LinkID) {
+	e, ok := d.links[id]
+	if !ok {
+		return
+	}
+	delete(d.links, id)
+	d.mesh.deliver(d, core.LinkDown{Link: id})
+	delete(e.to.links, e.toID)
+	d.mesh.deliver(e.to, core.LinkDown{Link: e.toID})
+}
+
+func (m *mesh) deliver(to *fakeDaemon, ev core.Event) {
+	m.queue = append(m.queue, delivery{at: m.now.Add(linkDelay), to: to, life: to.starts, ev: ev})
+}
+
+// run lets simulated time pass in steps of a tick.
+func (m *mesh) run(d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end); {
+		m.breakCutLinks()
+		for _, daemon := range m.daemons {
+			daemon.handle(core.Tick{})
+		}
+		for range 20 {
+			m.now = m.now.Add(core.TickInterval / 20)
+			m.flush()
+		}
+	}
+}
+
+func (m *mesh) breakCutLinks() {
+	for _, d := range m.daemons {
+		for id, e := range d.links {
+			if m.cut(d, e.to) {
+				d.closeLink(id)
+			}
+		}
+	}
+}
+
+func (m *mesh) flush() {
+	due := m.queue
+	m.queue = nil
+	for _, e := range due {
+		switch {
+		case e.at.After(m.now):
+			m.queue = append(m.queue, e)
+		case e.life == e.to.starts:
+			e.to.handle(e.ev)
+		}
+	}
+}
+
+func (d *fakeDaemon) handle(ev core.Event) {
+	if !d.alive {
+		return
+	}
+	if d.paused {
+		if _, tick := ev.(core.Tick); !tick {
+			d.waiting = append(d.waiting, ev)
+		}
+		return
+	}
+	for _, effect := range d.node.Step(d.mesh.now, ev) {
+		d.carryOut(effect)
+	}
+}
+
+func (d *fakeDaemon) resume() {
+	d.paused = false
+	waiting := d.waiting
+	d.waiting = nil
+	for _, ev := range waiting {
+		d.handle(ev)
+	}
+}
+
+func (d *fakeDaemon) carryOut(effect core.Effect) {
+	m := d.mesh
+	switch e := effect.(type) {
+	case core.SendFrame:
+		if link, ok := d.links[e.Link]; ok {
+			m.bytes[link.to.name] += frameBytes(e.Frame)
+			m.deliver(link.to, core.FrameReceived{Link: link.toID, Frame: e.Frame})
+		}
+	case core.Dial:
+		d.dial(e)
+	case core.CloseLink:
+		d.closeLink(e.Link)
+	case core.PlatformCall:
+		result := core.PlatformResult{Err: fault.New(fault.Unavailable, "cut off")}
+		if !m.offPlatform(d) {
+			result = m.table.call(e.Call)
+		}
+		m.deliver(d, core.PlatformDone{ID: e.ID, Result: result})
+	case core.Publish:
+		d.publish(e.Config)
+	case core.Emit:
+		d.events = append(d.events, e.Event)
+	case core.Reply:
+		d.replies[e.ID] = e
+	}
+}
+
+// publish checks what must hold for every configuration that a proxy gets.
+func (d *fakeDaemon) publish(c *routing.Config) {
+	if c.State.Revision < d.served {
+		d.mesh.faults = append(d.mesh.faults, fmt.Sprintf("%s served revision %d after %d", d.name, c.State.Revision, d.served))
+	}
+	if err := c.State.Check(); err != nil {
+		d.mesh.faults = append(d.mesh.faults, d.name+": "+err.Error())
+	}
+	d.served = max(d.served, c.State.Revision)
+	d.config = c
+}
+
+func (d *fakeDaemon) dial(e core.Dial) {
+	for _, other := range d.mesh.daemons {
+		if other.name != e.Address || !other.alive || other.paused || d.mesh.cut(d, other) {
+			continue
+		}
+		other.accepted++
+		id := other.accepted | peer.AcceptedBit
+		d.links[e.Link] = &end{to: other, toID: id}
+		other.links[id] = &end{to: d, toID: e.Link}
+		d.mesh.deliver(other, core.LinkUp{Link: id})
+		d.mesh.deliver(d, core.LinkUp{Link: e.Link})
+		return
+	}
+	d.mesh.deliver(d, core.LinkDown{Link: e.Link, Err: fault.New(fault.Unavailable, "refused")})
+}
+
+func frameBytes(f *wire.Frame) int { return wire.Size(f) }
+
+func submitEvent(id uint64, t *model.Ticket) core.Event { return core.Submit{ID: id, Ticket: t} }
+
+// head returns the newest revision of the log.
+func (m *mesh) head() uint64 {
+	return m.table.items[platform.Key{Partition: "head", Sort: "head"}].Rev
+}
+
+// ticketAt returns the number of the ticket that a revision accepted.
+func (m *mesh) ticketAt(revision uint64) uint64 {
+	record, err := wire.DecodeRecord(m.table.items[core.LogKey(revision)].Body)
+	if err != nil || record.Ticket == nil {
+		return 0
+	}
+	return record.Ticket.Number
+}
+
+func (m *mesh) digestOf(ticket uint64) string {
+	return string(m.table.items[core.TicketKey(ticket)].Body)
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -132,3 +132,6 @@
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// Size returns the encoded size of a frame, in bytes.
+func Size(f *Frame) int { return proto.Size(f) }
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"os/exec"
-	"sync"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	Name string
 	cmd  *exec.Cmd
 	log  *os.File
-	once sync.Once
 	done chan struct{}
 	err  error
 }
