--- a/internal/once/background.go
+++ b/internal/once/background.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,10 @@
 	releaseLifetime = 10 * time.Minute
 )
 
+// lateRepeats is how often a release is repeated when a request that writes
+// the claim may still be on its way to the table.
+const lateRepeats = 3
+
 // MaxContentTypeBytes is the longest content type of an answer that is kept.
 const MaxContentTypeBytes = 256
 
@@ -23,6 +28,12 @@
 type job struct {
 	write   platform.Write
 	expires time.Time
+	// due is the earliest time of the write; zero means at once.
+	due time.Time
+	// repeats is how often the write is repeated after it was carried out.
+	repeats int
+	// repeated is the number of repetitions so far.
+	repeated int
 }
 
 // background writes answers and releases, in batches and one batch at a time.
@@ -68,9 +79,11 @@
 	g.batcher.count(func(s *Stats) { s.Dropped += uint64(n) })
 }
 
+// close accepts no more jobs and discards the repetitions that wait.
 func (g *background) close() {
 	g.mu.Lock()
 	g.closed = true
+	g.jobs = slices.DeleteFunc(g.jobs, func(j job) bool { return j.repeated > 0 })
 	g.mu.Unlock()
 	notify(g.wake)
 }
@@ -96,24 +109,29 @@
 		g.batcher.pause(g.batcher.backoff(failures))
 		failures++
 	}
-	g.drop(g.waiting())
+	g.drop(g.clear())
+}
+
+func (g *background) clear() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := len(g.jobs)
+	g.jobs = nil
+	return left
 }
 
 func (g *background) waitForJobs() bool {
 	b := g.batcher
 	for {
-		queued, closed, delay := g.look()
+		due, closed, delay := g.look()
 		switch {
-		case b.ctx.Err() != nil || (queued == 0 && closed):
+		case b.ctx.Err() != nil || (due == 0 && closed):
 			return false
-		case queued == 0:
-			select {
-			case <-g.wake:
-			case <-b.ctx.Done():
-			}
+		case due == 0:
+			g.sleep(delay)
 		case delay > 0:
 			b.pause(delay)
-		case queued < platform.MaxTransactWrites && !closed:
+		case due < platform.MaxTransactWrites && !closed:
 			return b.pause(b.cfg.Window)
 		default:
 			return true
@@ -121,10 +139,38 @@
 	}
 }
 
-func (g *background) look() (queued int, closed bool, delay time.Duration) {
+// idlePause is the longest sleep of a background writer without jobs.
+const idlePause = time.Minute
+
+// look returns the number of jobs that are due, and how long to wait: for the
+// limiter when there are such jobs, for the next job otherwise.
+func (g *background) look() (due int, closed bool, delay time.Duration) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.jobs), g.closed, g.limit.delay(time.Now())
+	next := idlePause
+	for i := range g.jobs {
+		if wait := g.jobs[i].due.Sub(now); wait > 0 {
+			next = min(next, wait)
+		} else {
+			due++
+		}
+	}
+	if due == 0 {
+		return 0, g.closed, next
+	}
+	return due, g.closed, g.limit.delay(now)
+}
+
+// sleep waits for the time, a new job, or the end.
+func (g *background) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.wake:
+	case <-g.batcher.ctx.Done():
+	}
 }
 
 // take removes a batch with each key at most once, and drops expired jobs.
@@ -140,7 +186,7 @@
 		switch {
 		case now.After(j.expires):
 			expired++
-		case len(batch) >= room || taken[key]:
+		case len(batch) >= room || taken[key] || j.due.After(now):
 			left = append(left, j)
 		default:
 			taken[key] = true
@@ -206,18 +252,40 @@
 	return left
 }
 
+// finished counts the jobs and queues their repetitions.
 func (g *background) finished(jobs []job) {
+	for i := range jobs {
+		g.repeat(jobs[i])
+	}
 	g.batcher.count(func(s *Stats) {
 		for i := range jobs {
-			if jobs[i].write.Op == platform.Delete {
+			switch {
+			case jobs[i].repeated > 0:
+			case jobs[i].write.Op == platform.Delete:
 				s.Released++
-			} else {
+			default:
 				s.Kept++
 			}
 		}
 	})
 }
 
+// repeat queues the next repetition of a job, if it has one. The first write
+// of a claim that is released may come late and would otherwise hold the key
+// for ever.
+func (g *background) repeat(j job) {
+	if j.repeated == j.repeats {
+		return
+	}
+	j.due = time.Now().Add(g.batcher.cfg.LatePause << j.repeated)
+	j.repeated++
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.jobs = append(g.jobs, j)
+	}
+}
+
 // transact carries out writes within the time of one operation.
 func (b *Batcher) transact(writes []platform.Write) error {
 	ctx, cancel := context.WithTimeout(b.ctx, b.cfg.Timeout)
--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -154,11 +154,12 @@
 		b.background.drop(1)
 		return
 	}
-	b.release(itemKey(key), a)
+	b.release(itemKey(key), a, 0)
 }
 
-func (b *Batcher) release(key platform.Key, a attempt) {
-	b.background.add(job{write: releaseWrite(key, a), expires: time.Now().Add(releaseLifetime)})
+func (b *Batcher) release(key platform.Key, a attempt, repeats int) {
+	expires := time.Now().Add(releaseLifetime)
+	b.background.add(job{write: releaseWrite(key, a), expires: expires, repeats: repeats})
 }
 
 // Finish implements Claimer.
@@ -173,7 +174,8 @@
 }
 
 // Close refuses new claims, then waits until the queued claims are decided and
-// the answers and releases are written. It fails with fault.Timeout when the
+// the answers and releases are written. Repetitions of a release are not
+// waited for. It fails with fault.Timeout when the
 // context ends first; what is left by then is given up.
 func (b *Batcher) Close(ctx context.Context) error {
 	b.mu.Lock()
--- a/internal/once/config.go
+++ b/internal/once/config.go
@@ -23,6 +23,10 @@
 	// background writer after a failure.
 	DefaultMinBackoff = 100 * time.Millisecond
 	DefaultMaxBackoff = 5 * time.Second
+	// DefaultLatePause is the pause before a release is repeated whose claim
+	// may still be written by a delayed request. It exceeds the time for
+	// which the platform usually holds a request.
+	DefaultLatePause = 5 * time.Second
 	// MaxAnswerBytes is the largest body of an answer that is kept.
 	MaxAnswerBytes = 8 << 10
 	// MaxKeyBytes is the longest idempotency key and MaxServiceBytes the
@@ -57,6 +61,9 @@
 	// MinBackoff and MaxBackoff bound the pause after a failure.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// LatePause is the pause before the first repetition of a release whose
+	// claim may be written late. It doubles with each repetition.
+	LatePause time.Duration
 }
 
 func (c *Config) setDefaults() {
@@ -70,6 +77,7 @@
 	setDefault(&c.Timeout, DefaultTimeout)
 	setDefault(&c.MinBackoff, DefaultMinBackoff)
 	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&c.LatePause, DefaultLatePause)
 }
 
 func setDefault[T int | time.Duration](value *T, standard T) {
--- a/internal/once/dispatch.go
+++ b/internal/once/dispatch.go
@@ -104,8 +104,11 @@
 func (b *Batcher) settle(w *waiter, grant Grant, err error) {
 	received := w.settle(result{grant: grant, err: err})
 	granted := grant.Decision == Granted
-	if (granted && !received) || (err != nil && w.maybeWritten) {
-		b.release(w.key, w.attempt)
+	switch {
+	case err != nil && w.maybeWritten:
+		b.release(w.key, w.attempt, lateRepeats)
+	case granted && !received:
+		b.release(w.key, w.attempt, 0)
 	}
 	b.count(func(s *Stats) {
 		switch {
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,307 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/once"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
+	"github.com/magnoliamount/magnoliamount/test/standin"
+)
+
+func TestOnce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "once")
+}
+
+// generous bounds what is expected to happen.
+const generous = 60 * time.Second
+
+func key(name string) once.Key { return once.Key{Service: "order", Value: name} }
+
+var _ = Describe("the batcher", func() {
+	var (
+		ctx    context.Context
+		stand  *standin.Server
+		server *httptest.Server
+	)
+	BeforeEach(func() {
+		ctx = context.Background()
+		stand = standin.New()
+		server = httptest.NewServer(stand)
+		DeferCleanup(server.Close)
+	})
+
+	newBatcher := func(change func(*once.Config)) *once.Batcher {
+		store, err := platform.NewAWS(platform.AWSConfig{
+			Region: "eu-central-1", TableEndpoint: server.URL, ObjectsEndpoint: server.URL,
+			Table: standin.DefaultTable, Bucket: standin.DefaultBucket,
+			AccessKey: "test", SecretKey: "test", Timeout: generous, DialTimeout: generous,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		cfg := once.Config{
+			Table: store.Table, Random: rand.New(rand.NewPCG(1, 1)), Holder: "vm",
+			WritesPerSecond: 10000, Timeout: generous, MinBackoff: time.Millisecond, MaxBackoff: 10 * time.Millisecond,
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		b := once.New(cfg)
+		DeferCleanup(func() {
+			stand.SetFaults(standin.Faults{})
+			end, cancel := context.WithTimeout(context.Background(), generous)
+			defer cancel()
+			Expect(b.Close(end)).To(Succeed())
+		})
+		return b
+	}
+
+	claim := func(b *once.Batcher, name string) once.Grant {
+		GinkgoHelper()
+		grant, err := b.Claim(ctx, key(name), "digest")
+		Expect(err).NotTo(HaveOccurred())
+		return grant
+	}
+
+	// waitFor waits until the background writer has nothing left.
+	waitFor := func(b *once.Batcher) {
+		GinkgoHelper()
+		Eventually(func() int { return b.Stats().Background }).WithTimeout(generous).Should(BeZero())
+	}
+
+	It("guards against a second run, a lost answer, and a claim that outlives its release", func() {
+		a, b := newBatcher(nil), newBatcher(nil)
+		first := claim(a, "k")
+		Expect(first.Decision).To(Equal(once.Granted))
+		Expect(claim(b, "k").Decision).To(Equal(once.InDoubt))
+
+		answer := once.Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"serial":7}`)}
+		a.Finish(key("k"), first.Attempt, answer)
+		waitFor(a)
+		replay := claim(b, "k")
+		Expect(replay.Decision).To(Equal(once.Replay))
+		Expect(*replay.Answer).To(Equal(answer))
+
+		second := claim(a, "released")
+		a.Release(key("released"), second.Attempt)
+		waitFor(a)
+		Expect(claim(b, "released").Decision).To(Equal(once.Granted))
+	})
+
+	It("guards against a key that is used again for another request", func() {
+		b := newBatcher(nil)
+		first := claim(b, "k")
+		_, err := b.Claim(ctx, key("k"), "another digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.Invalid))
+		b.Finish(key("k"), first.Attempt, once.Answer{Status: 200})
+		waitFor(b)
+		_, err = b.Claim(ctx, key("k"), "another digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.Invalid))
+	})
+
+	DescribeTable("guards against keys that the table cannot hold apart",
+		func(k once.Key, digest string) {
+			_, err := newBatcher(nil).Claim(ctx, k, digest)
+			Expect(fault.KindOf(err)).To(Equal(fault.Invalid))
+			Expect(stand.Stats().Operations).To(BeEmpty())
+		},
+		Entry("no key", once.Key{Service: "order"}, "d"),
+		Entry("no service", once.Key{Value: "k"}, "d"),
+		Entry("a slash in the service", once.Key{Service: "a/b", Value: "k"}, "d"),
+		Entry("a long key", once.Key{Service: "order", Value: string(make([]byte, once.MaxKeyBytes+1))}, "d"),
+		Entry("a key that is not UTF-8", once.Key{Service: "order", Value: "\xff"}, "d"),
+	)
+
+	It("guards against an answer that is too large, which would fail the batch of other answers", func() {
+		b := newBatcher(nil)
+		large, small := claim(b, "large"), claim(b, "small")
+		b.Finish(key("large"), large.Attempt, once.Answer{Status: 200, Body: make([]byte, once.MaxAnswerBytes+1)})
+		b.Finish(key("small"), small.Attempt, once.Answer{Status: 200, Body: make([]byte, once.MaxAnswerBytes)})
+		waitFor(b)
+		Expect(claim(b, "large").Decision).To(Equal(once.InDoubt))
+		Expect(claim(b, "small").Decision).To(Equal(once.Replay))
+	})
+
+	// claimAll claims the keys from both batchers at once and counts the
+	// grants and the failures of each key.
+	claimAll := func(batchers []*once.Batcher, keys, repeats int) (grants, failures []atomic.Int32) {
+		grants, failures = make([]atomic.Int32, keys), make([]atomic.Int32, keys)
+		var claims sync.WaitGroup
+		for i := range keys {
+			for range repeats {
+				for _, b := range batchers {
+					claims.Go(func() {
+						grant, err := b.Claim(ctx, key(fmt.Sprint("race", i)), "digest")
+						if err != nil {
+							failures[i].Add(1)
+						} else if grant.Decision == once.Granted {
+							grants[i].Add(1)
+						}
+					})
+				}
+			}
+		}
+		claims.Wait()
+		return grants, failures
+	}
+
+	DescribeTable("guards against two grants of one key",
+		func(faults standin.Faults) {
+			const keys = 40
+			a, b := newBatcher(nil), newBatcher(nil)
+			stand.SetFaults(faults)
+			grants, failures := claimAll([]*once.Batcher{a, b}, keys, 2)
+			for i := range keys {
+				Expect(grants[i].Load()).To(BeNumerically("<=", 1), "key %d", i)
+				if failures[i].Load() == 0 {
+					Expect(grants[i].Load()).To(BeNumerically("==", 1), "key %d", i)
+				}
+			}
+			if faults == (standin.Faults{}) {
+				Expect(a.Stats().Failed + b.Stats().Failed).To(BeZero())
+			}
+		},
+		Entry("on a healthy platform", standin.Faults{}),
+		Entry("with lost answers", standin.Faults{LoseRate: 0.4}),
+		Entry("with internal errors after the write", standin.Faults{InternalErrorNext: 3}),
+		Entry("with throttling", standin.Faults{ThrottleRate: 0.4}),
+		Entry("with everything at once", standin.Faults{LoseRate: 0.3, ThrottleRate: 0.2, LatencyMillis: 10, AnswerLatencyMillis: 10}),
+		Entry("in an outage", standin.Faults{Outage: true}),
+		Entry("with cut connections", standin.Faults{Cut: true}),
+	)
+
+	It("guards against a lost answer that refuses a claim which was written", func() {
+		b := newBatcher(nil)
+		stand.SetFaults(standin.Faults{LoseNext: 1})
+		Expect(claim(b, "k").Decision).To(Equal(once.Granted))
+		Expect(claim(b, "k").Decision).To(Equal(once.InDoubt))
+		Expect(stand.Stats().Lost).To(BeEquivalentTo(1))
+	})
+
+	It("guards against a write that arrives after its timeout and grants the key a second time", func() {
+		hasty := newBatcher(func(c *once.Config) { c.Timeout, c.LatePause = 200*time.Millisecond, 500*time.Millisecond })
+		patient := newBatcher(nil)
+		stand.SetFaults(standin.Faults{LatencyMillis: 400})
+		grant, err := hasty.Claim(ctx, key("late"), "digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.Unavailable))
+		Expect(grant.Decision).To(BeZero())
+		stand.SetFaults(standin.Faults{})
+		// Late writes may hold the claim until a repetition of the release.
+		Eventually(func() once.Decision { return claim(patient, "late").Decision }).WithTimeout(generous).Should(Equal(once.Granted))
+		waitFor(hasty)
+		Expect(claim(patient, "late").Decision).To(Equal(once.InDoubt))
+	})
+
+	It("guards against a repeated release that deletes the claim of the next attempt", func() {
+		a, b := newBatcher(nil), newBatcher(nil)
+		first := claim(a, "k")
+		stand.SetFaults(standin.Faults{LoseNext: 1})
+		a.Release(key("k"), first.Attempt)
+		waitFor(a)
+		Expect(claim(b, "k").Decision).To(Equal(once.Granted))
+		a.Release(key("k"), first.Attempt)
+		a.Finish(key("k"), first.Attempt, once.Answer{Status: 200})
+		waitFor(a)
+		Expect(claim(a, "k").Decision).To(Equal(once.InDoubt))
+	})
+
+	It("guards against answers and releases that an outage loses", func() {
+		b := newBatcher(nil)
+		kept, released := claim(b, "kept"), claim(b, "released")
+		stand.SetFaults(standin.Faults{Outage: true})
+		b.Finish(key("kept"), kept.Attempt, once.Answer{Status: 200})
+		b.Release(key("released"), released.Attempt)
+		before := stand.Stats().Refused
+		Eventually(func() uint64 { return stand.Stats().Refused }).WithTimeout(generous).Should(BeNumerically(">", before+2))
+		stand.SetFaults(standin.Faults{})
+		waitFor(b)
+		Expect(claim(b, "kept").Decision).To(Equal(once.Replay))
+		Expect(claim(b, "released").Decision).To(Equal(once.Granted))
+		Expect(b.Stats().Dropped).To(BeZero())
+	})
+
+	It("guards against a claim that stays after its caller left", func() {
+		b := newBatcher(nil)
+		stand.SetFaults(standin.Faults{AnswerLatencyMillis: 3000})
+		hurried, cancel := context.WithCancel(ctx)
+		go func() {
+			defer GinkgoRecover()
+			defer cancel()
+			Eventually(func() uint64 { return stand.Stats().ItemWrites }).WithTimeout(generous).Should(BeEquivalentTo(1))
+		}()
+		_, err := b.Claim(hurried, key("k"), "digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.Timeout))
+		stand.SetFaults(standin.Faults{})
+		Eventually(func() uint64 { return b.Stats().Released }).WithTimeout(generous).Should(BeEquivalentTo(1))
+		Expect(claim(b, "k").Decision).To(Equal(once.Granted))
+	})
+
+	It("guards against a transaction for each claim", func() {
+		b := newBatcher(func(c *once.Config) { c.Window = 500 * time.Millisecond })
+		grants, _ := claimAll([]*once.Batcher{b}, 250, 1)
+		for i := range grants {
+			Expect(grants[i].Load()).To(BeNumerically("==", 1))
+		}
+		Expect(b.Stats().Writes).To(BeEquivalentTo(250))
+		Expect(stand.Stats().Operations["TransactWriteItems"]).To(BeNumerically("<=", 10))
+	})
+
+	It("guards against a queue without bound while the platform hangs", func() {
+		b := newBatcher(func(c *once.Config) { c.QueueLimit = 3 })
+		stand.SetFaults(standin.Faults{LatencyMillis: 1000})
+		var claims sync.WaitGroup
+		var overloaded atomic.Int32
+		for i := range 200 {
+			claims.Go(func() {
+				_, err := b.Claim(ctx, key(fmt.Sprint(i)), "digest")
+				if fault.Is(err, fault.Overloaded) {
+					overloaded.Add(1)
+				}
+			})
+		}
+		claims.Wait()
+		Expect(overloaded.Load()).To(BeNumerically(">", 0))
+	})
+
+	It("guards against more writes in a second than the limit", func() {
+		b := newBatcher(func(c *once.Config) { c.WritesPerSecond = 20 })
+		start := time.Now()
+		claimAll([]*once.Batcher{b}, 60, 1)
+		// 20 claims are written at once and 40 at 20 a second.
+		Expect(time.Since(start)).To(BeNumerically(">=", 1900*time.Millisecond))
+		Expect(stand.Stats().ItemWrites).To(BeEquivalentTo(60))
+	})
+
+	It("guards against work that is lost or accepted at the end", func() {
+		b := newBatcher(nil)
+		first, second := claim(b, "a"), claim(b, "b")
+		b.Finish(key("a"), first.Attempt, once.Answer{Status: 200})
+		b.Release(key("b"), second.Attempt)
+		Expect(b.Close(ctx)).To(Succeed())
+		Expect(b.Stats().Kept).To(BeEquivalentTo(1))
+		Expect(b.Stats().Released).To(BeEquivalentTo(1))
+		_, err := b.Claim(ctx, key("c"), "digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.NotReady))
+	})
+
+	It("guards against a Close that hangs while the platform is down", func() {
+		b := newBatcher(nil)
+		grant := claim(b, "a")
+		stand.SetFaults(standin.Faults{Outage: true})
+		b.Release(key("a"), grant.Attempt)
+		end, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		Expect(fault.KindOf(b.Close(end))).To(Equal(fault.Timeout))
+		Eventually(func() uint64 { return b.Stats().Dropped }).WithTimeout(generous).Should(BeEquivalentTo(1))
+	})
+})
