--- /dev/null
+++ b/test/caller/caller_test.go
@@ -0,0 +1,176 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/proxy"
+	"github.com/magnoliamount/magnoliamount/test/caller"
+	"github.com/magnoliamount/magnoliamount/test/target"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// closedPort is one that no process of a test listens on.
+const closedPort = "127.0.0.1:1"
+
+// answer answers like a target, after change has been applied.
+func answer(w http.ResponseWriter, r *http.Request, change func(*target.Answer)) {
+	digest := target.NewDigest()
+	n, _ := io.Copy(digest, r.Body)
+	padding, _ := strconv.ParseInt(r.URL.Query().Get(target.BytesParameter), 10, 64)
+	a := target.Answer{
+		VM: "vm1", Version: "v1", ID: r.Header.Get(target.IDHeader), Method: r.Method, Path: r.URL.Path,
+		Bytes: n, Digest: target.DigestText(digest), Padding: padding,
+	}
+	change(&a)
+	line, _ := json.Marshal(a)
+	_, _ = w.Write(append(line, '\n'))
+	_, _ = io.Copy(w, target.Padding(a.ID, a.Padding))
+}
+
+func unchanged(*target.Answer) {}
+
+// outcome answers like a daemon.
+func outcome(o proxy.Outcome, status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(proxy.OutcomeHeader, string(o))
+		w.WriteHeader(status)
+	}
+}
+
+func serve(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// load sends ten requests of a kind and returns the summary and the record.
+func load(kind caller.Kind, listeners ...string) (caller.Summary, []caller.Result) {
+	GinkgoHelper()
+	o := caller.DefaultOptions()
+	o.Listeners, o.Rate, o.Duration = listeners, 100, 100*time.Millisecond
+	o.GetWeight, o.OnceWeight, o.UploadWeight = 0, 0, 0
+	*map[caller.Kind]*int{caller.Get: &o.GetWeight, caller.Once: &o.OnceWeight, caller.Upload: &o.UploadWeight}[kind] = 1
+	o.UploadBytes, o.UploadTime, o.RetryDelay = 300<<10, 100*time.Millisecond, time.Millisecond
+	o.Record = filepath.Join(GinkgoT().TempDir(), "results.jsonl")
+	c, err := caller.New(o)
+	Expect(err).NotTo(HaveOccurred())
+	summary, err := c.Run(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	content, err := os.ReadFile(o.Record)
+	Expect(err).NotTo(HaveOccurred())
+	var results []caller.Result
+	for line := range strings.Lines(string(content)) {
+		var r caller.Result
+		Expect(json.Unmarshal([]byte(line), &r)).To(Succeed())
+		results = append(results, r)
+	}
+	Expect(results).To(HaveLen(10))
+	Expect(summary.Sent).To(Equal(int64(10)))
+	return summary, results
+}
+
+var _ = DescribeTable("every answer that is not whole and the request's own is seen",
+	func(kind caller.Kind, handler http.HandlerFunc, verdict caller.Verdict) {
+		summary, results := load(kind, serve(handler))
+		for _, r := range results {
+			Expect(r.Verdict).To(Equal(verdict), r.Attempts[0].Error)
+			Expect(r.Whole && r.Own).To(Equal(verdict == caller.Answered))
+		}
+		counts := map[caller.Verdict]int64{
+			caller.Answered: summary.Answered, caller.NotRun: summary.NotRun, caller.Unknown: summary.Unknown,
+			caller.Cut: summary.Cut, caller.Wrong: summary.Wrong,
+		}
+		Expect(counts[verdict]).To(Equal(int64(10)))
+	},
+	Entry("good lookup", caller.Get, func(w http.ResponseWriter, r *http.Request) { answer(w, r, unchanged) }, caller.Answered),
+	Entry("good upload", caller.Upload, func(w http.ResponseWriter, r *http.Request) { answer(w, r, unchanged) }, caller.Answered),
+	Entry("another request's answer", caller.Get, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, func(a *target.Answer) { a.ID = "other" })
+	}, caller.Wrong),
+	Entry("another body's digest", caller.Upload, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, func(a *target.Answer) { a.Digest = "other" })
+	}, caller.Wrong),
+	Entry("one changed byte at the end", caller.Get, func(w http.ResponseWriter, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		answer(recorded, r, unchanged)
+		body := recorded.Body.Bytes()
+		body[len(body)-1] ^= 1
+		_, _ = w.Write(body)
+	}, caller.Wrong),
+	Entry("more bytes than asked for", caller.Get, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, unchanged)
+		_, _ = w.Write([]byte("x"))
+	}, caller.Wrong),
+	Entry("a connection that ends within the answer", caller.Get, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "4000")
+		answer(w, r, unchanged)
+		panic(http.ErrAbortHandler)
+	}, caller.Cut),
+	Entry("a connection that ends before the answer", caller.Upload, func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}, caller.Cut),
+	Entry("not run", caller.Once, outcome(proxy.NotRun, 503), caller.NotRun),
+	Entry("unknown", caller.Get, outcome(proxy.Unknown, 502), caller.Unknown),
+	Entry("an error without an outcome", caller.Get, http.NotFound, caller.Unknown),
+)
+
+var _ = Describe("sending again", func() {
+	It("sends a once-only request of unknown outcome through another daemon, with the same key", func() {
+		var mu sync.Mutex
+		keys := map[string][]string{}
+		seen := func(r *http.Request, name string) {
+			mu.Lock()
+			defer mu.Unlock()
+			key := r.Header.Get(proxy.KeyHeader)
+			keys[key] = append(keys[key], name+r.Header.Get(target.AttemptHeader))
+		}
+		bad := serve(func(w http.ResponseWriter, r *http.Request) {
+			seen(r, "bad")
+			outcome(proxy.Unknown, 502)(w, r)
+		})
+		good := serve(func(w http.ResponseWriter, r *http.Request) {
+			seen(r, "good")
+			answer(w, r, unchanged)
+		})
+		summary, _ := load(caller.Once, bad, good)
+		Expect(summary.Answered).To(Equal(int64(10)))
+		Expect(summary.Resent).To(Equal(int64(5)))
+		Expect(keys).To(HaveLen(10))
+		for key, tries := range keys {
+			Expect(key).NotTo(BeEmpty())
+			Expect(tries).To(Or(Equal([]string{"good1"}), Equal([]string{"bad1", "good2"})))
+		}
+	})
+
+	It("never sends an upload of unknown outcome again, and does so for a daemon that was not reached", func() {
+		summary, _ := load(caller.Upload, serve(outcome(proxy.Unknown, 502)))
+		Expect(summary.Resent).To(BeZero())
+		summary, _ = load(caller.Upload, closedPort, serve(func(w http.ResponseWriter, r *http.Request) { answer(w, r, unchanged) }))
+		Expect(summary.Answered).To(Equal(int64(10)))
+		Expect(summary.ByVersion).To(Equal(map[string]int64{"v1": 10}))
+	})
+
+	It("refuses a load that could send nothing", func() {
+		_, err := caller.New(caller.DefaultOptions())
+		Expect(fault.KindOf(err)).To(Equal(fault.Invalid))
+	})
+})
