--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -19,6 +19,8 @@
 func cloneURL(r *http.Request, address string) *url.URL {
 	u := *r.URL
 	u.Scheme = "http"
+	// http.Transport would turn a user into an Authorization header.
+	u.User = nil
 	u.Host = address
 	return &u
 }
@@ -107,6 +109,10 @@
 func relay(w http.ResponseWriter, response *http.Response, keep *keptAnswer) streamed {
 	announceTrailers(w.Header(), response)
 	announced := len(response.Trailer)
+	if _, ok := w.Header()["Content-Type"]; !ok {
+		// The server would guess a type.
+		w.Header()["Content-Type"] = nil
+	}
 	w.WriteHeader(response.StatusCode)
 	if response.ContentLength < 0 {
 		// The caller sees the headers of a streamed answer before its body.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout is far above the time that a connection within the region
+	// takes, and below usual deadlines, so that a dead VM is left out before
+	// callers give up.
+	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is shorter than the idle timeout that servers of daemons
 	// should have (90 s), so that the client closes an idle connection first.
 	idleTimeout = 60 * time.Second
@@ -72,10 +75,12 @@
 	written atomic.Int64
 }
 
-// Write counts what is written.
+// Write counts what is written. Bytes count from the start of the call, so
+// that a write in progress is never taken for none.
 func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(p)))
 	return n, err
 }
 
@@ -106,10 +111,14 @@
 	}
 }
 
-// any reports whether a byte may have reached the endpoint.
+// any reports whether a byte of a failed request may have reached the
+// endpoint. It closes the connection, so that no byte follows.
 func (s *sent) any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
 	s.settle()
 	return s.wrote
 }
@@ -151,6 +160,10 @@
 		ContentLength: src.length,
 	}
 	copyEndToEnd(out.Header, r.Header)
+	if _, ok := out.Header["User-Agent"]; !ok {
+		// http.Transport would add its own name.
+		setOne(out.Header, "User-Agent", "")
+	}
 	hideKey(out.Header, KeyHeader, "idempotency-key")
 	hideKey(out.Header, "X-Idempotency-Key", "x-idempotency-key")
 	switch {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,241 @@
+package routing_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+var _ = Describe("route match", func() {
+	var table *routing.Table
+	BeforeEach(func() {
+		state := model.NewState()
+		state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}}
+		for _, r := range []model.Route{
+			{Name: "any", PathPrefix: "/"},
+			{Name: "orders", PathPrefix: "/order"},
+			{Name: "new", PathPrefix: "/order/new"},
+			{Name: "shop", Host: "Shop.example", PathPrefix: "/order"},
+			{Name: "lost", PathPrefix: "/lost", Service: "missing"},
+		} {
+			if r.Service == "" {
+				r.Service = "order"
+			}
+			state.Routes[r.Name] = &r
+		}
+		table = routing.NewTable(&routing.Config{State: state}, routing.NewTargets())
+	})
+
+	// Guards against a request that is sent to another service's route.
+	DescribeTable("matches by host and longest prefix", func(host, path, route string) {
+		Expect(table.Match(host, path).Name).To(Equal(route))
+	},
+		Entry("longest prefix", "x", "/order/new/1", "new"),
+		Entry("whole segments only", "x", "/orders", "any"),
+		Entry("a host's route goes first", "shop.example", "/order/new", "shop"),
+		Entry("the port and the case of the host do not count", "SHOP.example:80", "/order", "shop"),
+		Entry("another path of that host", "shop.example", "/x", "any"),
+		Entry("a route to a missing service is left out", "x", "/lost", "any"),
+	)
+})
+
+var _ = Describe("version choice", func() {
+	var config *routing.Config
+	BeforeEach(func() {
+		all := append(endpoints("v1", 4), endpoints("v2", 4)...)
+		config = &routing.Config{State: moving(), Endpoints: all}
+	})
+
+	// Guards against more traffic to an unproved version than its share.
+	It("follows the step and keeps to the focus", func() {
+		config.Steps = steps(50, 1)
+		vms, versions := drawn(config, "a", start)
+		Expect(versions["v2"]).To(BeNumerically("~", draws*0.05, draws*0.01))
+		fromNew := 0
+		for _, e := range config.Endpoints[4:] {
+			if vms[e.VM] > 0 {
+				fromNew++
+			}
+		}
+		Expect(fromNew).To(Equal(1))
+	})
+
+	// Guards against daemons that spread a version over different targets.
+	It("chooses the same focus for any order of the endpoints", func() {
+		config.Steps = steps(50, 2)
+		first, _ := drawn(config, "a", start)
+		e := config.Endpoints
+		e[4], e[7] = e[7], e[4]
+		e[5], e[6] = e[6], e[5]
+		second, _ := drawn(config, "a", start)
+		for vm := range first {
+			Expect(second).To(HaveKey(vm))
+		}
+	})
+
+	// Guards against traffic to a version whose brake is set, even when the
+	// old version has no target.
+	It("sends nothing to a braked version", func() {
+		config.Steps = steps(1000, 0)
+		config.Braked = map[uint64]bool{2: true}
+		_, versions := drawn(config, "a", start)
+		Expect(versions).To(Equal(map[string]int{"v1": draws}))
+		config.Endpoints = config.Endpoints[4:]
+		_, versions = drawn(config, "a", start)
+		Expect(versions).To(BeEmpty())
+	})
+
+	// Guards against failed requests while another version has ready targets.
+	It("lets the share of a version without ready targets fall to the others", func() {
+		config.Steps = steps(500, 0)
+		for i := range 4 {
+			config.Endpoints[i].State = member.Draining
+		}
+		_, versions := drawn(config, "a", start)
+		Expect(versions).To(Equal(map[string]int{"v2": draws}))
+	})
+
+	// Guards against retries that add to the share of a new version.
+	It("retries on other targets, and on a new version only after itself", func() {
+		config.Steps = steps(500, 0)
+		table := routing.NewTable(config, routing.NewTargets())
+		route := table.Match("", "/")
+		choose := chooser("a")
+		old := route.Service.Versions[0]
+		choice, ok := choose.Again(start, route, old, old.Targets[:3])
+		Expect(ok).To(BeTrue())
+		Expect(choice.Target).To(BeIdenticalTo(old.Targets[3]))
+		_, ok = choose.Again(start, route, old, old.Targets)
+		Expect(ok).To(BeFalse())
+		other := route.Service.Versions[1]
+		choice, ok = choose.Again(start, route, other, other.Targets)
+		Expect(ok).To(BeTrue())
+		Expect(choice.Version).To(BeIdenticalTo(old))
+	})
+})
+
+var _ = Describe("target choice", func() {
+	// Guards against overload of a busy target while another is idle.
+	It("prefers the less busy target, and the own domain at equal load", func() {
+		config := &routing.Config{State: moving(), Endpoints: []member.Endpoint{endpoint("near", "v1", "a"), endpoint("far", "v1", "b")}}
+		vms, _ := drawn(config, "a", start)
+		Expect(vms).To(Equal(map[string]int{"near": draws}))
+		table := routing.NewTable(config, routing.NewTargets())
+		route := table.Match("", "/")
+		near := route.Service.Versions[0].Targets[0]
+		near.Begin()
+		choice, _ := chooser("a").First(start, route)
+		Expect(choice.Target.Endpoint.VM).To(Equal("far"))
+		near.End()
+		near.Report(start, 0.5)
+		choice, _ = chooser("a").First(start, route)
+		Expect(choice.Target.Endpoint.VM).To(Equal("far"))
+		choice, _ = chooser("a").First(start.Add(2*time.Second), route)
+		Expect(choice.Target.Endpoint.VM).To(Equal("near"), "an old report does not count")
+	})
+
+	// Guards against a cold target that is overrun right after its start.
+	It("raises the part of a cold target over ten seconds", func() {
+		cold := endpoint("cold", "v1", "a")
+		cold.Target.Started = start
+		config := &routing.Config{State: moving(), Endpoints: []member.Endpoint{cold, endpoint("warm", "v1", "b")}}
+		part := func(age time.Duration) float64 {
+			vms, _ := drawn(config, "a", start.Add(age))
+			return float64(vms["cold"]) / draws
+		}
+		Expect(part(0)).To(BeNumerically("~", 0.1, 0.02))
+		Expect(part(5 * time.Second)).To(BeNumerically("~", 0.5, 0.03))
+		Expect(part(10 * time.Second)).To(Equal(1.0))
+	})
+
+	// Guards against requests to dead targets, and against an outage on this
+	// side that leaves out every target.
+	It("leaves out targets that refuse connections, but at most half", func() {
+		config := &routing.Config{State: moving(), Endpoints: endpoints("v1", 4)}
+		targets := routing.NewTargets()
+		table := routing.NewTable(config, targets)
+		route := table.Match("", "/")
+		refusing := route.Service.Versions[0].Targets
+		seen := func(now time.Time) map[string]bool {
+			vms := map[string]bool{}
+			choose := chooser("a")
+			for range 1000 {
+				choice, _ := choose.First(now, route)
+				vms[choice.Target.Endpoint.VM] = true
+			}
+			return vms
+		}
+		refusing[0].Refused(start)
+		refusing[1].Refused(start)
+		Expect(seen(start)).To(HaveLen(2))
+		Expect(seen(start.Add(time.Second))).To(HaveLen(4))
+		refusing[2].Refused(start)
+		Expect(seen(start)).To(HaveLen(4))
+		again := routing.NewTable(config, targets).Match("", "/").Service.Versions[0].Targets
+		Expect(again[0].Ejected(start)).To(BeTrue(), "ejection survives a new configuration")
+		again[0].Connected()
+		Expect(again[0].Ejected(start)).To(BeFalse())
+	})
+})
+
+var _ = Describe("retry budget", func() {
+	// Guards against retries that multiply the load of a failing service.
+	It("allows a tenth of the requests, and three per second at least", func() {
+		var budget routing.Budget
+		allowed := func(now time.Time) int {
+			n := 0
+			for budget.Retry(now) {
+				n++
+			}
+			return n
+		}
+		Expect(allowed(start)).To(Equal(3))
+		for range 200 {
+			budget.Request(start.Add(time.Second))
+		}
+		Expect(allowed(start.Add(time.Second))).To(Equal(20))
+		Expect(allowed(start.Add(2*time.Second))).To(Equal(20), "the last second counts")
+		Expect(allowed(start.Add(9 * time.Second))).To(Equal(3))
+	})
+})
+
+var _ = Describe("strikes", func() {
+	// Guards against a crashing request that is sent to target after target.
+	It("quarantines at two crashes for ten minutes", func() {
+		strikes := routing.NewStrikes()
+		strikes.Add(start, 7)
+		Expect(strikes.Quarantined(start, 7)).To(BeFalse())
+		strikes.Add(start, 7)
+		Expect(strikes.Quarantined(start, 7)).To(BeTrue())
+		Expect(strikes.Quarantined(start, 8)).To(BeFalse())
+		Expect(strikes.Quarantined(start.Add(routing.QuarantineTime), 7)).To(BeFalse())
+		Expect(strikes.Any()).To(BeFalse())
+	})
+
+	// Guards against one crash that is counted twice, by its own daemon and
+	// by the mesh.
+	It("takes the higher of its own and the mesh's count", func() {
+		strikes := routing.NewStrikes()
+		strikes.Add(start, 7)
+		strikes.Set(map[uint64]uint32{7: 1})
+		Expect(strikes.Quarantined(start, 7)).To(BeFalse())
+		strikes.Set(map[uint64]uint32{7: 2})
+		Expect(strikes.Quarantined(start, 7)).To(BeTrue())
+	})
+
+	// Guards against memory that grows with every crash.
+	It("remembers a bounded number of fingerprints", func() {
+		strikes := routing.NewStrikes()
+		for i := range uint64(5000) {
+			strikes.Add(start.Add(time.Duration(i)), i)
+			strikes.Add(start.Add(time.Duration(i)), i)
+		}
+		Expect(strikes.Quarantined(start, 4999)).To(BeTrue())
+		Expect(strikes.Quarantined(start, 0)).To(BeFalse())
+	})
+})
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -55,6 +55,9 @@
 	}
 	for _, route := range c.State.Routes {
 		entry := &Route{Route: route, Service: t.services[route.Service]}
+		if entry.Service == nil {
+			continue
+		}
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], entry)
 	}
