--- /dev/null
+++ b/internal/proxy/suite_test.go
@@ -0,0 +1,235 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/once"
+	"github.com/magnoliamount/magnoliamount/internal/proxy"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+func TestProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proxy")
+}
+
+// patience bounds what a test waits for.
+const patience = 30 * time.Second
+
+// node is a VM: a target and the inbound proxy beside it.
+type node struct {
+	vm      string
+	version string
+	target  *httptest.Server
+	inbound *proxy.Inbound
+	front   *httptest.Server
+}
+
+// crash closes the target's listener and connections, as a dying process does.
+func (n *node) crash() {
+	_ = n.target.Listener.Close()
+	n.target.CloseClientConnections()
+}
+
+// mesh is an outbound proxy with nodes.
+type mesh struct {
+	route    model.Route
+	nodes    []*node
+	outbound *proxy.Outbound
+	front    *httptest.Server
+	observer *recorder
+	claimer  *claims
+	client   *http.Client
+	slots    uint32
+	state    *model.State
+	steps    map[uint64]move.Step
+}
+
+// newMesh serves the route with one node for each handler.
+func newMesh(route model.Route, handlers ...http.Handler) *mesh {
+	route.Name, route.Service, route.PathPrefix = "r", "order", "/"
+	m := &mesh{route: route, observer: &recorder{}, claimer: newClaims(), slots: 10}
+	m.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	m.outbound = proxy.NewOutbound(proxy.OutboundConfig{Domain: "a", Random: rand.New(rand.NewPCG(1, 2)), Observer: m.observer})
+	m.front = httptest.NewServer(m.outbound)
+	for i, h := range handlers {
+		n := &node{vm: fmt.Sprintf("vm%d", i), version: "v1", target: httptest.NewServer(h)}
+		n.inbound = proxy.NewInbound(proxy.InboundConfig{Claimer: m.claimer, Observer: m.observer})
+		n.front = httptest.NewServer(n.inbound)
+		m.nodes = append(m.nodes, n)
+	}
+	m.state = model.NewState()
+	m.state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}}
+	m.state.Routes["r"] = &m.route
+	m.update()
+	m.outbound.SetReady(nil)
+	return m
+}
+
+// update puts the mesh's fields in force.
+func (m *mesh) update() {
+	config := &routing.Config{State: m.state, Steps: m.steps}
+	for _, n := range m.nodes {
+		target := member.Target{
+			Service: "order", Version: n.version, Address: n.target.Listener.Addr().String(), Slots: m.slots, Connections: 110,
+		}
+		n.inbound.SetTarget(target)
+		config.Endpoints = append(config.Endpoints, member.Endpoint{
+			VM: n.vm, Incarnation: 1, State: member.Ready, Domain: "a",
+			InboundAddress: n.front.Listener.Addr().String(), Target: target,
+		})
+	}
+	m.outbound.Update(config)
+}
+
+// moveTo makes the last node v2 and moves the service to it.
+func (m *mesh) moveTo(permille uint32) {
+	m.nodes[len(m.nodes)-1].version = "v2"
+	before := m.state.Services["order"]
+	target := model.Service{Name: "order", Versions: []string{"v1", "v2"}, Shares: map[string]uint32{"v2": 100}}
+	ticket := &model.Ticket{Number: 2, Services: []model.Service{target}, Moves: []model.Move{{Service: "order"}}}
+	m.state.Services["order"] = &model.Service{Name: "order", Versions: target.Versions, Shares: before.Shares}
+	m.state.Open[2] = &model.OpenTicket{Ticket: ticket, Before: model.Image{Services: map[string]*model.Service{"order": before}}}
+	m.steps = map[uint64]move.Step{2: {Ticket: 2, Permille: permille}}
+	m.update()
+}
+
+func (m *mesh) close() {
+	m.client.CloseIdleConnections()
+	m.front.Close()
+	m.outbound.Update(&routing.Config{State: model.NewState()})
+	for _, n := range m.nodes {
+		n.inbound.SetTarget(member.Target{})
+		n.front.Close()
+		n.target.Close()
+	}
+}
+
+func (m *mesh) request(method, path, body string, header ...string) *http.Request {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	DeferCleanup(cancel)
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, m.front.URL+path, reader)
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	return r
+}
+
+// reply is a whole answer.
+type reply struct {
+	*http.Response
+	body string
+}
+
+func (r reply) outcome() proxy.Outcome { return proxy.Outcome(r.Header.Get(proxy.OutcomeHeader)) }
+
+func (m *mesh) do(r *http.Request) reply {
+	GinkgoHelper()
+	response, err := m.client.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return reply{response, string(body)}
+}
+
+// recorder is an Observer.
+type recorder struct {
+	mu           sync.Mutex
+	observations []move.Observation
+	strikes      []uint64
+}
+
+func (o *recorder) Observe(observation move.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.observations = append(o.observations, observation)
+}
+
+func (o *recorder) Strike(fingerprint uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.strikes = append(o.strikes, fingerprint)
+}
+
+func (o *recorder) seen() []move.Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]move.Observation(nil), o.observations...)
+}
+
+func (o *recorder) struck() []uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]uint64(nil), o.strikes...)
+}
+
+// claims is a Claimer in memory, shared by all nodes.
+type claims struct {
+	mu       sync.Mutex
+	err      error
+	held     map[once.Key]string
+	answers  map[once.Key]once.Answer
+	digests  map[string]bool
+	released int
+}
+
+func newClaims() *claims {
+	return &claims{held: map[once.Key]string{}, answers: map[once.Key]once.Answer{}, digests: map[string]bool{}}
+}
+
+func (c *claims) Claim(_ context.Context, key once.Key, digest string) (once.Grant, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return once.Grant{}, c.err
+	}
+	c.digests[digest] = true
+	if answer, ok := c.answers[key]; ok {
+		return once.Grant{Decision: once.Replay, Answer: &answer}, nil
+	}
+	if c.held[key] != "" {
+		return once.Grant{Decision: once.InDoubt}, nil
+	}
+	c.held[key] = digest
+	return once.Grant{Decision: once.Granted, Attempt: digest}, nil
+}
+
+func (c *claims) Release(key once.Key, _ string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.held, key)
+	c.released++
+}
+
+func (c *claims) Finish(key once.Key, _ string, answer once.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[key] = answer
+}
+
+func (c *claims) releases() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.released
+}
