Close the connection after an answer that began before its request ended

net/http panics in full duplex mode when the body ends after the handler. The proxies now turn full duplex on only for such answers and do not reuse the connection. A proved version without a share also takes over when the versions with a share have no targets.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -48,6 +48,13 @@
 
 func (s *source) empty() bool { return s.length == 0 }
 
+// ended reports whether the whole body was read from the caller.
+func (s *source) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == io.EOF
+}
+
 // fill reads until the prefix is known or the body ends.
 func (s *source) fill() error {
 	for {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -105,6 +105,19 @@
 // taken for a whole one.
 func cut() { panic(http.ErrAbortHandler) }
 
+// allowEarlyAnswer lets the answer begin while the request's body is still
+// being read; by default the server reads the whole body first. The server
+// cannot use the connection again after that: it panics when the body ends
+// after the handler.
+func allowEarlyAnswer(w http.ResponseWriter, r *http.Request, src *source) {
+	if r.ProtoMajor != 1 || src.ended() {
+		return
+	}
+	if err := http.NewResponseController(w).EnableFullDuplex(); err == nil {
+		setOne(w.Header(), "Connection", "close")
+	}
+}
+
 // relay sends the status, the headers, the body and the trailers of an answer.
 func relay(w http.ResponseWriter, response *http.Response, keep *keptAnswer) streamed {
 	announceTrailers(w.Header(), response)
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -139,11 +139,6 @@
 		}
 	}
 	s.limitTime()
-	if !s.source.empty() {
-		// Without this the server reads the whole body before it answers. It
-		// fails for HTTP/2, which is full duplex anyway.
-		_ = http.NewResponseController(s.w).EnableFullDuplex()
-	}
 	return nil
 }
 
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -184,11 +184,6 @@
 	}
 	x.deadline = time.Now().Add(timeout)
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
-	if !x.source.empty() {
-		// Without this the server reads the whole body before it answers. It
-		// fails for HTTP/2, which is full duplex anyway.
-		_ = http.NewResponseController(x.w).EnableFullDuplex()
-	}
 	return nil
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -174,6 +174,7 @@
 	if held.claimer != nil {
 		kept = &keptAnswer{limit: keptAnswerBytes}
 	}
+	allowEarlyAnswer(s.w, s.r, s.source)
 	result := relay(s.w, response, kept)
 	if result.upstream != nil && s.ctx.Err() == nil {
 		s.crashed(request)
--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -74,7 +74,7 @@
 		m.nodes = append(m.nodes, n)
 	}
 	m.state = model.NewState()
-	m.state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}}
+	m.state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}, Proved: []string{"v1"}}
 	m.state.Routes["r"] = &m.route
 	m.update()
 	m.outbound.SetReady(nil)
@@ -103,7 +103,7 @@
 	before := m.state.Services["order"]
 	target := model.Service{Name: "order", Versions: []string{"v1", "v2"}, Shares: map[string]uint32{"v2": 100}}
 	ticket := &model.Ticket{Number: 2, Services: []model.Service{target}, Moves: []model.Move{{Service: "order"}}}
-	m.state.Services["order"] = &model.Service{Name: "order", Versions: target.Versions, Shares: before.Shares}
+	m.state.Services["order"] = &model.Service{Name: "order", Versions: target.Versions, Shares: before.Shares, Proved: before.Proved}
 	m.state.Open[2] = &model.OpenTicket{Ticket: ticket, Before: model.Image{Services: map[string]*model.Service{"order": before}}}
 	m.steps = map[uint64]move.Step{2: {Ticket: 2, Permille: permille}}
 	m.update()
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -51,7 +51,7 @@
 	}
 	for _, v := range r.Service.Versions {
 		left := without(v.Targets, tried)
-		if v.New || v.Share <= 0 || len(left) == 0 {
+		if v.New || (v.Share <= 0 && !v.Spare) || len(left) == 0 {
 			continue
 		}
 		return Choice{Version: v, Target: c.chooseTarget(now, left)}, true
@@ -66,7 +66,8 @@
 }
 
 // chooseVersion draws a version by shares. The share of a version without
-// targets falls to the other versions, to those that are not new first.
+// targets falls to the other versions: to those that are not new first, then
+// to spare ones, and to new ones last.
 func (c *Chooser) chooseVersion(r *Route) *Version {
 	if r.Version != "" {
 		return usable(r.Service.version(r.Version))
@@ -78,6 +79,11 @@
 	if v := c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
 		return v
 	}
+	for _, v := range r.Service.Versions {
+		if v.Spare && usable(v) != nil {
+			return v
+		}
+	}
 	return c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil })
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -98,6 +98,13 @@
 		}
 		_, versions := drawn(config, "a", start)
 		Expect(versions).To(Equal(map[string]int{"v2": draws}))
+		config.Endpoints = config.Endpoints[:4]
+		for i := range 4 {
+			config.Endpoints[i].State = member.Ready
+		}
+		config.Steps = steps(1000, 0)
+		_, versions = drawn(config, "a", start)
+		Expect(versions).To(Equal(map[string]int{"v1": draws}), "the old version stays in reserve")
 	})
 
 	// Guards against retries that add to the share of a new version.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -41,6 +41,10 @@
 	Share float64
 	// New is true for a version that gains traffic by the open ticket.
 	New bool
+	// Spare is true for a proved version that may take the share of versions
+	// without targets while its own share is zero, as the old version may at
+	// the end of a move.
+	Spare bool
 	// Targets holds the ready targets, limited to the focus for a new version.
 	Targets []*Target
 }
@@ -98,8 +102,10 @@
 		gains = gaining(open, name)
 		focus = int(c.Steps[service.Ticket].Focus)
 	}
-	for _, version := range c.State.Services[name].Versions {
+	configured := c.State.Services[name]
+	for _, version := range configured.Versions {
 		v := &Version{Name: version, Share: shares[version], New: gains[version]}
+		v.Spare = !v.New && slices.Contains(configured.Proved, version)
 		v.Targets = ofVersion(ready, version)
 		if v.New {
 			v.Targets = focused(v.Targets, service.Ticket, focus)
