--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,53 @@
+package proxy_test
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+)
+
+// BenchmarkAddedLatency sends the same request directly and through outbound
+// and inbound in turn, and reports the percentiles of both in microseconds.
+func BenchmarkAddedLatency(b *testing.B) {
+	RegisterTestingT(b)
+	m := newMesh(model.Route{Idempotent: true}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer m.close()
+	direct, meshed := make([]time.Duration, 0, b.N), make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		direct = append(direct, timed(b, m.client, m.nodes[0].target.URL))
+		meshed = append(meshed, timed(b, m.client, m.front.URL))
+	}
+	slices.Sort(direct)
+	slices.Sort(meshed)
+	for _, p := range []struct {
+		name string
+		part float64
+	}{{"p50", 0.5}, {"p99", 0.99}} {
+		i := int(p.part * float64(len(direct)-1))
+		b.ReportMetric(float64(direct[i].Microseconds()), "direct-"+p.name+"-µs")
+		b.ReportMetric(float64(meshed[i].Microseconds()), "mesh-"+p.name+"-µs")
+		b.ReportMetric(float64((meshed[i] - direct[i]).Microseconds()), "added-"+p.name+"-µs")
+	}
+}
+
+func timed(b *testing.B, client *http.Client, url string) time.Duration {
+	begun := time.Now()
+	response, err := client.Get(url)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", response.StatusCode)
+	}
+	return time.Since(begun)
+}
