--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -171,7 +172,10 @@
 		out.Body = body
 		out.Trailer = r.Trailer
 	case safeMethod(r.Method):
-		out.Body = unrepeatable{}
+		// "identity" keeps http.Transport from reading ahead in the body to
+		// learn whether it is empty; nothing of it is sent.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+		out.TransferEncoding = []string{"identity"}
 	}
 	return out
 }
@@ -190,9 +194,3 @@
 	}
 	return false
 }
-
-// unrepeatable is an empty body that http.Transport cannot rewind.
-type unrepeatable struct{}
-
-func (unrepeatable) Read([]byte) (int, error) { return 0, io.EOF }
-func (unrepeatable) Close() error             { return nil }
