--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -19,6 +19,8 @@
 func cloneURL(r *http.Request, address string) *url.URL {
 	u := *r.URL
 	u.Scheme = "http"
+	// http.Transport would turn a user into an Authorization header.
+	u.User = nil
 	u.Host = address
 	return &u
 }
@@ -103,10 +105,27 @@
 // taken for a whole one.
 func cut() { panic(http.ErrAbortHandler) }
 
+// allowEarlyAnswer lets the answer begin while the request's body is still
+// being read; by default the server reads the whole body first. The server
+// cannot use the connection again after that: it panics when the body ends
+// after the handler.
+func allowEarlyAnswer(w http.ResponseWriter, r *http.Request, src *source) {
+	if r.ProtoMajor != 1 || src.ended() {
+		return
+	}
+	if err := http.NewResponseController(w).EnableFullDuplex(); err == nil {
+		setOne(w.Header(), "Connection", "close")
+	}
+}
+
 // relay sends the status, the headers, the body and the trailers of an answer.
 func relay(w http.ResponseWriter, response *http.Response, keep *keptAnswer) streamed {
 	announceTrailers(w.Header(), response)
 	announced := len(response.Trailer)
+	if _, ok := w.Header()["Content-Type"]; !ok {
+		// The server would guess a type.
+		w.Header()["Content-Type"] = nil
+	}
 	w.WriteHeader(response.StatusCode)
 	if response.ContentLength < 0 {
 		// The caller sees the headers of a streamed answer before its body.
