--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -65,7 +65,6 @@
 	options := ini.LoadOptions{
 		IgnoreContinuation:       true,
 		SpaceBeforeInlineComment: true,
-		AllowBooleanKeys:         true,
 		SkipUnrecognizableLines:  true,
 		KeyValueDelimiters:       "=",
 	}
@@ -126,8 +125,12 @@
 
 func (l *loader) loadKey(k *key) {
 	text, given := l.value(k.section, k.name)
-	if k.secret {
-		text, given = l.secret(k, text, given)
+	if k.secret && l.index.has(k.section, k.name+fileSuffix) {
+		var ok bool
+		if text, ok = l.secret(k, given); !ok {
+			return
+		}
+		given = true
 	}
 	if !given {
 		if k.required {
@@ -159,20 +162,18 @@
 	return l.file.Section(section).Key(name).Value(), true
 }
 
-// secret returns the secret given in the file or in the file that it names.
-func (l *loader) secret(k *key, text string, given bool) (string, bool) {
+// secret returns the content of the file that the key's companion names. It
+// reports what is wrong with the file and returns false then.
+func (l *loader) secret(k *key, alsoInline bool) (string, bool) {
 	fileKey := k.name + fileSuffix
-	path, inFile := l.value(k.section, fileKey)
-	if !inFile {
-		return text, given
-	}
-	if given {
+	if alsoInline {
 		l.add(k.section, fileKey, "clashes with %s; give one of them", k.name)
-		return text, given
+		return "", false
 	}
+	path, _ := l.value(k.section, fileKey)
 	if path == "" {
 		l.add(k.section, fileKey, "empty")
-		return "unused", true
+		return "", false
 	}
 	if !filepath.IsAbs(path) {
 		path = filepath.Join(l.dir, path)
@@ -180,7 +181,7 @@
 	content, err := readBounded(path)
 	if err != nil {
 		l.add(k.section, fileKey, "%s", fault.As(err).Message)
-		return "unreadable secret", true
+		return "", false
 	}
 	return strings.TrimSpace(string(content)), true
 }
--- /dev/null
+++ b/internal/ticketfile/suite_test.go
@@ -0,0 +1,13 @@
+package ticketfile_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ticketfile")
+}
--- a/internal/ticketfile/values.go
+++ b/internal/ticketfile/values.go
@@ -13,6 +13,12 @@
 // resolution is the finest time and duration that a ticket keeps.
 const resolution = time.Millisecond
 
+// Years of a finish time. Earlier times stand for "no time" in messages.
+const (
+	minYear = 1970
+	maxYear = 9999
+)
+
 // object calls the reader of each field, and reports unknown and missing ones.
 func (d *decoder) object(n *node, required []string, readers map[string]func(*node)) {
 	if !n.object {
@@ -143,11 +149,14 @@
 	}
 	var value time.Time
 	// UnmarshalText is stricter than time.Parse, which takes hours of one digit.
-	if err := value.UnmarshalText([]byte(text)); err != nil || value.Year() < 1970 {
+	err := value.UnmarshalText([]byte(text))
+	// A zone can move a time out of the years that RFC 3339 can write.
+	value = value.UTC()
+	if err != nil || value.Year() < minYear || value.Year() > maxYear {
 		d.add(n.path, `a time in RFC 3339, such as "2026-12-04T10:00:00Z", or "+90s" is expected`)
 		return time.Time{}
 	}
-	return value.UTC().Truncate(resolution)
+	return value.Truncate(resolution)
 }
 
 func (d *decoder) relative(n *node, text string) time.Time {
