--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -120,6 +120,12 @@
 		Expect(s.Platform.SecretKey).To(Equal("a%(region)s#b;c=d"))
 	})
 
+	It("keeps a quoted value with a comment sign whole, as docs/settings.md says", func() {
+		s, err := settings.Parse([]byte(edited("secret_key = example-secret-key", `secret_key = "a #b"`)), "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Platform.SecretKey).To(Equal("a #b"))
+	})
+
 	It("reads a secret file relative to the settings file and trims its line end", func() {
 		dir := GinkgoT().TempDir()
 		Expect(os.WriteFile(filepath.Join(dir, "token"), []byte("from-the-file\n"), 0o600)).To(Succeed())
