Add trace files, the replay of moves and the recorded set

The replay runs the daemon's collectors, brakes, judge and planner on recorded behaviour, under the sequential and the baseline judge.

--- a/internal/move/brake.go
+++ b/internal/move/brake.go
@@ -11,9 +11,13 @@
 	judge Judge
 }
 
-// NewBrake returns a brake that is not set.
-func NewBrake() *Brake {
-	return &Brake{judge: NewSequentialJudge(BrakeFalseAlarmBound)}
+// NewBrake returns a brake that is not set. A nil judge means a
+// SequentialJudge with BrakeFalseAlarmBound.
+func NewBrake(judge Judge) *Brake {
+	if judge == nil {
+		judge = NewSequentialJudge(BrakeFalseAlarmBound)
+	}
+	return &Brake{judge: judge}
 }
 
 // Observe takes the samples of one interval that the daemon collected for the
--- /dev/null
+++ b/test/cmd/tracegen/good.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"math"
+
+	"github.com/magnoliamount/magnoliamount/internal/trace"
+)
+
+// scenario makes one trace of a workload.
+type scenario struct {
+	name     string
+	note     string
+	outcome  string
+	workload workload
+	build    func(*builder)
+}
+
+// kind is a scenario before it is applied to a workload.
+type kind struct {
+	name, note string
+	build      func(*builder)
+}
+
+func scenarios() []scenario {
+	var all []scenario
+	for _, w := range []workload{order, mandate, storefront, assets} {
+		for _, k := range goodKinds {
+			all = append(all, scenario{w.service + "-good-" + k.name, k.note, trace.Good, w, k.build})
+		}
+		for _, k := range badKinds {
+			all = append(all, scenario{w.service + "-bad-" + k.name, k.note, trace.Bad, w, k.build})
+		}
+	}
+	return all
+}
+
+// noiseEveryMs is how often a noisy version changes.
+const noiseEveryMs = 2000
+
+var goodKinds = []kind{
+	{"plain", "both versions behave alike", func(*builder) {}},
+	{"careful", "a longer move that prefers care", func(b *builder) {
+		b.trace.Header.Ticket = trace.Ticket{FinishMs: b.window(240), Prefer: "careful"}
+	}},
+	{"slow-start", "targets of the new version arrive cold", func(b *builder) {
+		n := b.targets()
+		b.trace.Header.Services[0].NewTargets = 0
+		b.add(b.targetLine(0, n, 8000, b.size(4)))
+	}},
+	{"late-target", "a cold target replaces one during the move", func(b *builder) {
+		b.add(b.targetLine(b.at(0.3), -1, 0, 0))
+		b.add(b.targetLine(b.at(0.4), 1, 6000, 3))
+	}},
+	{"noisy", "both versions have bursts of errors and of slowness, independent of each other", noisy},
+	{"noisy-together", "bursts of errors and of slowness hit both versions at once", noisyTogether},
+	{"overloaded", "the service has more load than slots at times", overloaded},
+	{"quiet-route", "one route has hardly any traffic", func(b *builder) {
+		b.demand[b.quietRoute()] = 0.5 / b.quietRate()
+	}},
+	{"idle", "no route has traffic to speak of", func(b *builder) {
+		for _, r := range b.workload.routes {
+			b.demand[r.name] = 0.1 / r.perSecond
+		}
+	}},
+	{"short", "20 s until the finish", func(b *builder) { b.trace.Header.Ticket.FinishMs = 20_000 }},
+	{"platform-outage", "the platform is away while steps are due", func(b *builder) {
+		b.add(outage(b.at(0.1), trace.Platform, b.at(0.6)+5000))
+	}},
+	{"control-outage", "the controller is cut off for a while", func(b *builder) {
+		from := b.at(0.2)
+		b.add(outage(from, trace.Control, from+8000))
+	}},
+	{"takeover", "the controller is replaced twice", func(b *builder) {
+		b.add(trace.Line{AtMs: b.at(0.15), Kind: trace.KindTakeover, Takeover: &trace.Takeover{GapMs: 5000}})
+		b.add(trace.Line{AtMs: b.at(0.7), Kind: trace.KindTakeover, Takeover: &trace.Takeover{GapMs: 5000}})
+	}},
+	{"crashing-request", "a request kills the targets that run it", func(b *builder) {
+		for _, f := range []float64{0.2, 0.45, 0.7} {
+			b.add(trace.Line{AtMs: b.at(f), Kind: trace.KindCrash, Service: b.workload.service, Route: b.routes()[0],
+				Crash: &trace.Crash{RequestKey: "poison", Sent: 6, RestartMs: 4000}})
+		}
+	}},
+	{"health-alarm", "the load endpoints of the new version claim overload", func(b *builder) {
+		b.add(b.healthLine(0, b.targets(), 5))
+	}},
+}
+
+func (b *builder) targetLine(at int64, change int, coldMs int64, coldLatency float64) trace.Line {
+	return trace.Line{AtMs: at, Kind: trace.KindTargets, Service: b.workload.service, Version: "v2",
+		Targets: &trace.Targets{Change: change, ColdMs: coldMs, ColdLatency: coldLatency}}
+}
+
+func (b *builder) healthLine(at int64, healthy int, load float64) trace.Line {
+	return trace.Line{AtMs: at, Kind: trace.KindHealth, Service: b.workload.service, Version: "v2",
+		Health: &trace.Health{Healthy: healthy, Load: load, LagMs: 2000}}
+}
+
+func outage(at int64, of string, until int64) trace.Line {
+	return trace.Line{AtMs: at, Kind: trace.KindOutage, Outage: &trace.Outage{Of: of, UntilMs: max(at, until)}}
+}
+
+func (b *builder) quietRoute() string { return b.routes()[len(b.routes())-1] }
+
+func (b *builder) quietRate() float64 { return b.workload.routes[len(b.workload.routes)-1].perSecond }
+
+// disturb returns the behaviour with more errors and a longer latency.
+func disturb(v trace.Behaviour, errors, latency float64) trace.Behaviour {
+	v.Errors = round(v.Errors + errors)
+	v.P50Ms = round(v.P50Ms * latency)
+	v.P95Ms = round(v.P95Ms * latency)
+	v.P99Ms = round(v.P99Ms * latency)
+	v.ByLoad = nil
+	return v
+}
+
+func round(v float64) float64 { return math.Round(v*10_000) / 10_000 }
+
+// noise draws the errors and the latency factor of one burst or of calm.
+func (b *builder) noise() (errors, latency float64) {
+	latency = math.Exp(0.15 * b.rng.NormFloat64())
+	if b.rng.Float64() < 0.2 {
+		errors = 0.03 * b.rng.Float64()
+	}
+	if b.rng.Float64() < 0.2 {
+		latency *= 1 + b.rng.Float64()
+	}
+	return errors, latency
+}
+
+func noisy(b *builder) {
+	b.steady = false
+	for at := int64(0); at <= b.trace.Header.Ticket.FinishMs; at += noiseEveryMs {
+		for _, version := range []string{"v1", "v2"} {
+			errors, latency := b.noise()
+			for _, route := range b.routes() {
+				b.behave(at, route, version, disturb(b.usual(route), errors, latency))
+			}
+		}
+	}
+}
+
+func noisyTogether(b *builder) {
+	b.steady = false
+	for at := int64(0); at <= b.trace.Header.Ticket.FinishMs; at += noiseEveryMs {
+		errors, latency := b.noise()
+		for _, route := range b.routes() {
+			v := disturb(b.usual(route), 5*errors, latency*latency)
+			b.behave(at, route, "v1", v)
+			b.behave(at, route, "v2", v)
+		}
+	}
+}
+
+// overloaded raises the load so far that the slots are full for a part of the time.
+func overloaded(b *builder) {
+	full := 1 / b.busy()
+	for _, r := range b.workload.routes {
+		b.demand[r.name] = b.scale * full * 0.98
+	}
+}
