--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -58,7 +58,7 @@
 func (n *Node) judgeLocally(number uint64, own []move.Sample) {
 	brake := n.evidence.brakes[number]
 	if brake == nil {
-		brake = move.NewBrake()
+		brake = move.NewBrake(nil)
 		n.evidence.brakes[number] = brake
 	}
 	brake.Observe(n.now, n.stage(number), own)
