--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -104,7 +104,7 @@
 // fault.UnknownOutcome, and Submit may be called again with the same ticket.
 func (c *Client) Submit(ctx context.Context, t *model.Ticket) (TicketStatus, error) {
 	var status TicketStatus
-	body, err := ticketfile.Encode(t)
+	body, err := ticketfile.Compact(t)
 	if err != nil {
 		return status, err
 	}
@@ -119,7 +119,7 @@
 // Check runs the ticket against a daemon's state without submitting it.
 func (c *Client) Check(ctx context.Context, t *model.Ticket) (CheckResult, error) {
 	var result CheckResult
-	body, err := ticketfile.Encode(t)
+	body, err := ticketfile.Compact(t)
 	if err != nil {
 		return result, err
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -274,6 +274,27 @@
 		}
 	})
 
+	It("exits with 5, not 6, when a submission is cut off by --timeout", func() {
+		server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		})
+		Expect(remote("ticket", "submit", "--timeout", "2s", file(plain))).To(Equal(cli.ExitTimeout))
+		Expect(stderr.String()).To(ContainSubstring("may have been accepted"))
+	})
+
+	It("exits with 6 when no daemon gives its time line", func() {
+		server.Close()
+		Expect(remote("timeline")).To(Equal(cli.ExitUnreachable))
+	})
+
+	It("submits a large ticket unchanged, guarding against escapes and indents that push it over the limit", func() {
+		note := strings.Repeat("<", model.MaxTicketBytes-1000)
+		Expect(remote("ticket", "submit", file(strings.Replace(moving, "{", `{"note":"`+note+`",`, 1)))).To(Equal(cli.ExitOK), stderr.String())
+		Expect(remote("ticket", "submit", filepath.Join(dir, "ticket.json"))).To(Equal(cli.ExitOK), stderr.String())
+		Expect(backend.digests).To(HaveEach(backend.digests[0]))
+	})
+
 	It("does not follow an answer that no daemon gives", func() {
 		server.Config.Handler = http.NotFoundHandler()
 		Expect(remote("status")).To(Equal(cli.ExitUnreachable))
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -64,22 +64,23 @@
 	return badInput(fault.New(fault.Invalid, format, args...))
 }
 
-// answered gives a failure of an API call its code.
-func answered(err error) error {
+// answered gives a failure of an API call its code. The context is the one
+// that --timeout bounds.
+func answered(ctx context.Context, err error) error {
 	kind := fault.KindOf(err)
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, context.Canceled):
-		return withCode(err, ExitFailed)
-	case kind == fault.Timeout:
-		return withCode(err, ExitTimeout)
-	case admin.Unreachable(err):
-		return withCode(err, ExitUnreachable)
 	case kind == fault.NotFound:
 		return withCode(err, ExitFailed)
 	case admin.Refused(kind):
 		return withCode(err, ExitRefused)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return withCode(err, ExitFailed)
+	case ctx.Err() != nil:
+		return withCode(err, ExitTimeout)
+	case admin.Unreachable(err):
+		return withCode(err, ExitUnreachable)
 	}
 	return withCode(err, ExitFailed)
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -44,11 +44,11 @@
 	return nil
 }
 
-// printable replaces control characters, which could change the terminal or
-// break the table.
+// printable replaces control and formatting characters, which could change the
+// terminal, break the table or reorder its text.
 func printable(text string) string {
 	return strings.Map(func(r rune) rune {
-		if unicode.IsControl(r) {
+		if unicode.In(r, unicode.Cc, unicode.Cf) {
 			return ' '
 		}
 		return r
--- a/internal/cli/resolve.go
+++ b/internal/cli/resolve.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -17,8 +18,8 @@
 // resolvedSuffix names the file that keeps a ticket with resolved times.
 const resolvedSuffix = ".resolved"
 
-// maxResolvedBytes bounds that file, which is indented JSON.
-const maxResolvedBytes = 4 * model.MaxTicketBytes
+// maxResolvedBytes bounds that file, which holds the ticket and the source's digest.
+const maxResolvedBytes = 2 * model.MaxTicketBytes
 
 // resolution is the content of the file. A ticket with relative times would
 // have another digest on each run, and running a submission again would be
@@ -85,16 +86,18 @@
 // write keeps the ticket before it is sent. The rename makes sure that a
 // reader never sees half of it.
 func (f resolvedFile) write(source string, t *model.Ticket) error {
-	encoded, err := ticketfile.Encode(t)
+	encoded, err := ticketfile.Compact(t)
 	if err != nil {
-		return failed(err)
+		return badInput(err)
 	}
-	content, err := json.Marshal(resolution{SourceSHA256: source, Ticket: encoded})
-	if err != nil {
+	var content bytes.Buffer
+	encoder := json.NewEncoder(&content)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(resolution{SourceSHA256: source, Ticket: encoded}); err != nil {
 		return failed(fault.Wrap(err, fault.Internal, "encode %s", f))
 	}
 	temporary := string(f) + ".tmp"
-	if err := os.WriteFile(temporary, content, 0o600); err != nil {
+	if err := os.WriteFile(temporary, content.Bytes(), 0o600); err != nil {
 		return usage(err, "%s cannot be written; give absolute finish times or a writable directory", f)
 	}
 	if err := os.Rename(temporary, string(f)); err != nil {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	status, err := client.Status(ctx)
 	if err != nil {
-		return answered(err)
+		return answered(ctx, err)
 	}
 	return a.print(status, func(out *table) { fillStatus(out, status) })
 }
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -129,7 +129,7 @@
 	}
 	defer cancel()
 	result, err := client.Check(ctx, t)
-	return result, answered(err)
+	return result, answered(ctx, err)
 }
 
 func (a *app) submit(ctx context.Context, command *cli.Command) error {
@@ -153,7 +153,7 @@
 	status, err := client.Submit(ctx, t)
 	if err != nil {
 		resolved.forgetAfter(err)
-		return answered(err)
+		return answered(ctx, err)
 	}
 	return a.printTicket(status)
 }
@@ -186,7 +186,7 @@
 	defer cancel()
 	status, err := client.Ticket(ctx, wanted)
 	if err != nil {
-		return answered(err)
+		return answered(ctx, err)
 	}
 	return a.printTicket(status)
 }
@@ -210,7 +210,7 @@
 	defer cancel()
 	tickets, err := client.Tickets(ctx, limit)
 	if err != nil {
-		return answered(err)
+		return answered(ctx, err)
 	}
 	return a.print(tickets, func(out *table) {
 		out.row("TICKET", "STATE", "IN FORCE", "PROGRESS", "ACCEPTED", "NOTE")
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -58,9 +58,6 @@
 			return err
 		}
 	}
-	if len(all.lists) == 0 {
-		return answered(all.failures[0])
-	}
 	if err := a.printEvents(timeline.Merge(all.lists...)); err != nil {
 		return err
 	}
@@ -108,6 +105,9 @@
 		return err
 	}
 	g.ask(ctx, clients, config.Servers, filter)
+	if len(g.lists) == 0 {
+		return answered(ctx, g.failures[0])
+	}
 	return nil
 }
 
@@ -119,7 +119,7 @@
 	}
 	status, err := client.Status(ctx)
 	if err != nil {
-		return answered(err)
+		return answered(ctx, err)
 	}
 	for _, m := range status.Members {
 		switch {
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -63,7 +63,7 @@
 		case err == nil && finished(status, goal):
 			return status, nil
 		case fault.Is(err, fault.Unauthorized):
-			return status, answered(err)
+			return status, answered(ctx, err)
 		case err == nil:
 			last = nil
 		case ctx.Err() == nil:
--- a/internal/ticketfile/decode_test.go
+++ b/internal/ticketfile/decode_test.go
@@ -73,6 +73,11 @@
 		))
 	})
 
+	It("refuses to send what the daemon would refuse for its size", func() {
+		_, err := ticketfile.Compact(&model.Ticket{Number: 1, Note: strings.Repeat("x", model.MaxTicketBytes)})
+		Expect(fault.KindOf(err)).To(Equal(fault.Invalid))
+	})
+
 	DescribeTable("refuses bad input",
 		func(text, finding string) {
 			_, err := ticketfile.Decode([]byte(text), ticketfile.Options{Accepted: accepted})
--- a/internal/ticketfile/file.go
+++ b/internal/ticketfile/file.go
@@ -4,7 +4,9 @@
 package ticketfile
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -91,14 +93,35 @@
 
 func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
 
-// Encode returns the ticket as an indented JSON file. Decode reads it back
-// into a ticket with the same digest.
-func Encode(t *model.Ticket) ([]byte, error) {
-	encoded, err := json.MarshalIndent(FromTicket(t), "", "  ")
+// Encode returns the ticket as an indented JSON file for people. Decode reads
+// it back into a ticket with the same digest.
+func Encode(t *model.Ticket) ([]byte, error) { return encode(t, "  ") }
+
+// Compact returns the ticket as JSON for sending. It fails with fault.Invalid
+// when the result is larger than Decode allows, because the explicit defaults
+// can make it longer than the file that it came from.
+func Compact(t *model.Ticket) ([]byte, error) {
+	encoded, err := encode(t, "")
 	if err != nil {
+		return nil, err
+	}
+	if len(encoded) > model.MaxTicketBytes {
+		return nil, invalid(fmt.Sprintf("$: the ticket has %d bytes when it is sent; at most %d are allowed", len(encoded), model.MaxTicketBytes))
+	}
+	return encoded, nil
+}
+
+// encode leaves '<', '>' and '&' as they are. Escapes of six bytes each could
+// make a valid ticket too large.
+func encode(t *model.Ticket, indent string) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", indent)
+	if err := encoder.Encode(FromTicket(t)); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "encode ticket %d", t.Number)
 	}
-	return append(encoded, '\n'), nil
+	return buffer.Bytes(), nil
 }
 
 // Digest identifies the content of a ticket.
