--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -295,6 +296,18 @@
 		Expect(backend.digests).To(HaveEach(backend.digests[0]))
 	})
 
+	It("trusts a TLS daemon only by --ca-file, guarding against a token sent to an impostor", func() {
+		secure := httptest.NewTLSServer(admin.NewServer(backend, admin.ServerConfig{Token: token}))
+		DeferCleanup(secure.Close)
+		ca := filepath.Join(dir, "ca.pem")
+		block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
+		Expect(os.WriteFile(ca, block, 0o600)).To(Succeed())
+		flags := []string{"status", "--server", secure.URL, "--token-file", filepath.Join(dir, "token")}
+		Expect(run(append(flags, "--ca-file", ca)...)).To(Equal(cli.ExitOK), stderr.String())
+		Expect(run(flags...)).To(Equal(cli.ExitUnreachable))
+		Expect(run(append(flags, "--ca-file", filepath.Join(dir, "token"))...)).To(Equal(cli.ExitUsage))
+	})
+
 	It("does not follow an answer that no daemon gives", func() {
 		server.Config.Handler = http.NotFoundHandler()
 		Expect(remote("status")).To(Equal(cli.ExitUnreachable))
