--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -274,6 +275,39 @@
 		}
 	})
 
+	It("exits with 5, not 6, when a submission is cut off by --timeout", func() {
+		server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		})
+		Expect(remote("ticket", "submit", "--timeout", "2s", file(plain))).To(Equal(cli.ExitTimeout))
+		Expect(stderr.String()).To(ContainSubstring("may have been accepted"))
+	})
+
+	It("exits with 6 when no daemon gives its time line", func() {
+		server.Close()
+		Expect(remote("timeline")).To(Equal(cli.ExitUnreachable))
+	})
+
+	It("submits a large ticket unchanged, guarding against escapes and indents that push it over the limit", func() {
+		note := strings.Repeat("<", model.MaxTicketBytes-1000)
+		Expect(remote("ticket", "submit", file(strings.Replace(moving, "{", `{"note":"`+note+`",`, 1)))).To(Equal(cli.ExitOK), stderr.String())
+		Expect(remote("ticket", "submit", filepath.Join(dir, "ticket.json"))).To(Equal(cli.ExitOK), stderr.String())
+		Expect(backend.digests).To(HaveEach(backend.digests[0]))
+	})
+
+	It("trusts a TLS daemon only by --ca-file, guarding against a token sent to an impostor", func() {
+		secure := httptest.NewTLSServer(admin.NewServer(backend, admin.ServerConfig{Token: token}))
+		DeferCleanup(secure.Close)
+		ca := filepath.Join(dir, "ca.pem")
+		block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
+		Expect(os.WriteFile(ca, block, 0o600)).To(Succeed())
+		flags := []string{"status", "--server", secure.URL, "--token-file", filepath.Join(dir, "token")}
+		Expect(run(append(flags, "--ca-file", ca)...)).To(Equal(cli.ExitOK), stderr.String())
+		Expect(run(flags...)).To(Equal(cli.ExitUnreachable))
+		Expect(run(append(flags, "--ca-file", filepath.Join(dir, "token"))...)).To(Equal(cli.ExitUsage))
+	})
+
 	It("does not follow an answer that no daemon gives", func() {
 		server.Config.Handler = http.NotFoundHandler()
 		Expect(remote("status")).To(Equal(cli.ExitUnreachable))
