Answer streamed uploads that are refused at once, and leave kept answers out of the evidence

The server would otherwise read up to 256 KiB of the upload before it answers. A kept answer or a claim in doubt says nothing about the version that sends it.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -152,6 +152,18 @@
 	return outcomeOf(a.result.response.Header)
 }
 
+// ran reports whether the attempt shows how the version behaves. A kept
+// answer and a claim in doubt come from an earlier attempt.
+func (a *attempt) ran() bool {
+	switch a.outcome() {
+	case "":
+		return true
+	case Unknown:
+		return a.refused != nil || a.result.response.StatusCode != http.StatusConflict
+	}
+	return false
+}
+
 // mayRetry reports whether the attempt's outcome allows another attempt.
 func (x *exchange) mayRetry(a *attempt) bool {
 	if x.ctx.Err() != nil {
@@ -246,7 +258,7 @@
 	took := x.o.config.Now().Sub(a.started)
 	x.o.config.Metrics.firstByte(outboundSide, x.route.Name, took)
 	ticket := x.route.Service.Ticket
-	if ticket == 0 || x.route.Version != "" || a.outcome() == NotRun || x.r.Context().Err() != nil {
+	if ticket == 0 || x.route.Version != "" || !a.ran() || x.r.Context().Err() != nil {
 		return
 	}
 	observation := move.Observation{
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -11,10 +11,30 @@
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 )
 
-// copyBytes is the size of the buffer for a streamed answer.
-const copyBytes = 32 << 10
+const (
+	// copyBytes is the size of the buffer for a streamed answer.
+	copyBytes = 32 << 10
+	// smallBytes is the size of the buffer for a short answer.
+	smallBytes = 4 << 10
+)
+
+var (
+	buffers      = sync.Pool{New: func() any { return newBuffer(copyBytes) }}
+	smallBuffers = sync.Pool{New: func() any { return newBuffer(smallBytes) }}
+)
 
-var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+func newBuffer(size int) *[]byte {
+	buffer := make([]byte, size)
+	return &buffer
+}
+
+// buffersFor returns the pool of buffers for an answer of the length.
+func buffersFor(length int64) *sync.Pool {
+	if length >= 0 && length <= smallBytes {
+		return &smallBuffers
+	}
+	return &buffers
+}
 
 func cloneURL(r *http.Request, address string) *url.URL {
 	u := *r.URL
@@ -61,16 +81,17 @@
 // copying while keep wants the rest.
 func stream(w http.ResponseWriter, response *http.Response, keep *keptAnswer) streamed {
 	var result streamed
-	buffer := buffers.Get().(*[copyBytes]byte)
-	defer buffers.Put(buffer)
+	pool := buffersFor(response.ContentLength)
+	buffer := pool.Get().(*[]byte)
+	defer pool.Put(buffer)
 	flusher := http.NewResponseController(w)
 	var written int64
 	for {
-		n, err := response.Body.Read(buffer[:])
+		n, err := response.Body.Read(*buffer)
 		if n > 0 {
-			keep.add(buffer[:n])
+			keep.add((*buffer)[:n])
 			written += int64(n)
-			result.caller = writePart(w, flusher, buffer[:n], written != response.ContentLength, result.caller)
+			result.caller = writePart(w, flusher, (*buffer)[:n], written != response.ContentLength, result.caller)
 		}
 		if err == io.EOF {
 			return result
@@ -110,7 +131,21 @@
 // cannot use the connection again after that: it panics when the body ends
 // after the handler.
 func allowEarlyAnswer(w http.ResponseWriter, r *http.Request, src *source) {
-	if r.ProtoMajor != 1 || src.ended() {
+	if !src.ended() {
+		answerEarly(w, r)
+	}
+}
+
+// refuseEarly lets a refusal go out although a body of unknown length, which
+// can take long, has not been read.
+func refuseEarly(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength < 0 {
+		answerEarly(w, r)
+	}
+}
+
+func answerEarly(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor != 1 {
 		return
 	}
 	if err := http.NewResponseController(w).EnableFullDuplex(); err == nil {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -187,6 +187,7 @@
 func (s *service) refuse(refused *refusal) {
 	s.setLoad()
 	s.finished(refused.outcome)
+	refuseEarly(s.w, s.r)
 	refused.write(s.w, s.in.id)
 }
 
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
@@ -70,11 +71,8 @@
 	}
 	for i := range config.Endpoints {
 		e := &config.Endpoints[i]
-		key := routing.KeyOf(e)
-		if old != nil && old.links[key] != nil {
-			next.links[key] = old.links[key]
-		} else if e.Target.Service != "" {
-			next.links[key] = newLink(e.InboundAddress, e.Target.Connections)
+		if e.Target.Service != "" {
+			next.links[routing.KeyOf(e)] = old.linkTo(e)
 		}
 	}
 	for name := range config.State.Services {
@@ -89,9 +87,21 @@
 	}
 }
 
+// linkTo returns the link to the endpoint's daemon, or a new one. The
+// receiver may be nil.
+func (s *snapshot) linkTo(e *member.Endpoint) *link {
+	if s != nil {
+		l := s.links[routing.KeyOf(e)]
+		if l != nil && l.connections == e.Target.Connections {
+			return l
+		}
+	}
+	return newLink(e.InboundAddress, e.Target.Connections)
+}
+
 func closeUnused(old, next *snapshot) {
 	for key, l := range old.links {
-		if next.links[key] == nil {
+		if next.links[key] != l {
 			l.close()
 		}
 	}
@@ -205,6 +215,7 @@
 		setOne(x.w.Header(), RequestHeader, x.in.id)
 	}
 	x.finished(refused.outcome)
+	refuseEarly(x.w, x.r)
 	refused.write(x.w, x.in.id)
 }
 
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 // counter counts the requests that run and then serves them.
@@ -54,6 +55,62 @@
 		Expect(target.runs.Load()).To(BeEquivalentTo(8))
 	}, Entry("no body", 0), Entry("kept body", 32<<10), Entry("body that waits for admission", 1<<20))
 
+	// Guards against failed requests, and against a retry for each request,
+	// after a VM has died.
+	It("leaves out a daemon that refuses connections, and counts what it does", func() {
+		m := newMesh(model.Route{}, &counter{}, &counter{})
+		DeferCleanup(m.close)
+		m.nodes[0].front.Close()
+		for range 40 {
+			Expect(m.do(m.request("POST", "/", "")).StatusCode).To(Equal(200))
+		}
+		families, err := m.metrics.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		sums := map[string]float64{}
+		for _, family := range families {
+			for _, metric := range family.GetMetric() {
+				sums[family.GetName()] += metric.GetCounter().GetValue()
+			}
+		}
+		Expect(sums["magnoliamount_requests_total"]).To(Equal(80.0), "40 at each side")
+		Expect(sums["magnoliamount_retries_total"]).To(BeNumerically("<=", 6))
+	})
+
+	// Guards against a change of configuration that disturbs requests.
+	It("lets a request finish with the configuration that it started with", func() {
+		begun, goOn := make(chan struct{}), make(chan struct{})
+		m := newMesh(model.Route{}, &counter{serve: func(http.ResponseWriter, *http.Request) {
+			close(begun)
+			<-goOn
+		}})
+		DeferCleanup(m.close)
+		answer := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer <- m.do(m.request("POST", "/", "kept"))
+		}()
+		Eventually(begun, patience).Should(BeClosed())
+		m.outbound.Update(&routing.Config{State: model.NewState()})
+		m.nodes[0].inbound.SetTarget(member.Target{})
+		Expect(m.do(m.request("POST", "/", "")).StatusCode).To(Equal(404))
+		close(goOn)
+		var got reply
+		Eventually(answer, patience).Should(Receive(&got))
+		Expect(got.body).To(Equal("kept"))
+	})
+
+	// Guards against a refusal that waits for an upload which takes long.
+	It("refuses a streamed upload before its end", func() {
+		m := newMesh(model.Route{}, &counter{})
+		DeferCleanup(m.close)
+		m.outbound.SetReady(fault.New(fault.NotReady, "catching up"))
+		reader, writer := io.Pipe()
+		defer writer.Close()
+		r := m.request("POST", "/", "")
+		r.Body = reader
+		Expect(m.do(r).outcome()).To(Equal(proxy.NotRun))
+	})
+
 	// Guards against a request that runs twice: net/http repeats safe methods
 	// and requests with an idempotency key by itself when a reused connection
 	// dies, unless it is kept from doing so.
--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/model"
@@ -55,6 +56,7 @@
 	observer *recorder
 	claimer  *claims
 	client   *http.Client
+	metrics  *prometheus.Registry
 	slots    uint32
 	state    *model.State
 	steps    map[uint64]move.Step
@@ -65,11 +67,15 @@
 	route.Name, route.Service, route.PathPrefix = "r", "order", "/"
 	m := &mesh{route: route, observer: &recorder{}, claimer: newClaims(), slots: 10}
 	m.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
-	m.outbound = proxy.NewOutbound(proxy.OutboundConfig{Domain: "a", Random: rand.New(rand.NewPCG(1, 2)), Observer: m.observer})
+	m.metrics = prometheus.NewRegistry()
+	metrics := proxy.NewMetrics(m.metrics)
+	m.outbound = proxy.NewOutbound(proxy.OutboundConfig{
+		Domain: "a", Random: rand.New(rand.NewPCG(1, 2)), Observer: m.observer, Metrics: metrics,
+	})
 	m.front = httptest.NewServer(m.outbound)
 	for i, h := range handlers {
 		n := &node{vm: fmt.Sprintf("vm%d", i), version: "v1", target: httptest.NewServer(h)}
-		n.inbound = proxy.NewInbound(proxy.InboundConfig{Claimer: m.claimer, Observer: m.observer})
+		n.inbound = proxy.NewInbound(proxy.InboundConfig{Claimer: m.claimer, Observer: m.observer, Metrics: metrics})
 		n.front = httptest.NewServer(n.inbound)
 		m.nodes = append(m.nodes, n)
 	}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -32,13 +32,15 @@
 
 // link sends requests to one endpoint over a bounded pool of connections.
 type link struct {
-	address   string
-	transport *http.Transport
+	address     string
+	connections uint32
+	transport   *http.Transport
 }
 
 func newLink(address string, connections uint32) *link {
-	if connections == 0 {
-		connections = defaultConnections
+	limit := int(connections)
+	if limit == 0 {
+		limit = defaultConnections
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -48,12 +50,12 @@
 		}
 		return &countedConn{Conn: conn}, nil
 	}
-	return &link{address: address, transport: &http.Transport{
+	return &link{address: address, connections: connections, transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
-		MaxConnsPerHost:        int(connections),
-		MaxIdleConns:           int(connections),
-		MaxIdleConnsPerHost:    int(connections),
+		MaxConnsPerHost:        limit,
+		MaxIdleConns:           limit,
+		MaxIdleConnsPerHost:    limit,
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  expectTimeout,
 		MaxResponseHeaderBytes: 2 * maxHeaderBytes,
