--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -15,6 +15,11 @@
 const (
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts = 3
+	// addedHeaders is how many headers most requests to a daemon get.
+	addedHeaders = 6
+	// answerGrace is how long the outbound proxy waits past the deadline for
+	// the inbound daemon's statement on whether the request ran.
+	answerGrace = 25 * time.Millisecond
 	// discardBytes bounds what is read of an answer that is not passed on, in
 	// order to use its connection again.
 	discardBytes = 16 << 10
@@ -88,7 +93,7 @@
 }
 
 func (x *exchange) outgoing(a *attempt, l *link) *http.Request {
-	out := newRequest(x.r, l.address, x.source, a.body)
+	out := newRequest(x.r, l.address, x.source, a.body, addedHeaders)
 	h := out.Header
 	stripOwn(h)
 	setOne(h, RequestHeader, x.in.id)
@@ -166,7 +171,7 @@
 
 // mayRetry reports whether the attempt's outcome allows another attempt.
 func (x *exchange) mayRetry(a *attempt) bool {
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		return false
 	}
 	if a.refused == nil && a.result.response.Header.Get(NoRetryHeader) != "" {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -192,8 +192,11 @@
 	if x.in.hasDeadline {
 		timeout = min(timeout, x.in.remaining)
 	}
+	if timeout <= 0 {
+		return notRun(http.StatusGatewayTimeout, fault.New(fault.Timeout, "the deadline has passed"))
+	}
 	x.deadline = time.Now().Add(timeout)
-	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
+	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(answerGrace))
 	return nil
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -136,7 +136,7 @@
 }
 
 func (s *service) outgoing(body *attemptBody) *http.Request {
-	out := newRequest(s.r, s.served.link.address, s.source, body)
+	out := newRequest(s.r, s.served.link.address, s.source, body, 0)
 	stripOwn(out.Header, RequestHeader, RouteHeader, VersionHeader)
 	setRemaining(out.Header, time.Until(s.deadline))
 	setClock(out.Header, s.n.config.Clock)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -155,11 +155,12 @@
 // request by itself if its method is safe or if it has an idempotency key, and
 // if its body is nil or can be rewound. A non-nil body without GetBody and a
 // key in a spelling that http.Transport does not look for prevent that.
-func newRequest(r *http.Request, address string, src *source, body *attemptBody) *http.Request {
+// The number of headers that are added makes room for them in the header map.
+func newRequest(r *http.Request, address string, src *source, body *attemptBody, added int) *http.Request {
 	out := &http.Request{
 		Method: r.Method, URL: cloneURL(r, address), Host: r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header:        make(http.Header, len(r.Header)+8),
+		Header:        make(http.Header, len(r.Header)+added),
 		ContentLength: src.length,
 	}
 	copyEndToEnd(out.Header, r.Header)
