Judge against the old version's worst blocks and suspend while targets are missing

Causes of good moves taken back: the old version's estimate went vague once it had no traffic; bursts and load peaks of a noisy or overloaded service were only compared with the same interval; targets could not warm up before they had traffic; killed targets overloaded the rest.

--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -12,6 +12,9 @@
 	// Cold is the fraction of the new versions' traffic that cold targets
 	// may be serving, of 0 to 1. Slow requests up to this fraction are expected.
 	Cold float64
+	// Short is true while a service has lost so many targets of its new
+	// version that the rest is overloaded. Evidence does not count then.
+	Short bool
 }
 
 // Verdict is a judge's opinion of the new versions.
--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -17,36 +17,55 @@
 	historyDecay = 0.95
 	// maxNullRate keeps the null hypothesis below certainty.
 	maxNullRate = 0.9
-	// pairedRequests is how many requests of the old version an interval
-	// needs before its rate replaces the worst window of the history.
-	pairedRequests = 20
-	// windowRequests is how many old requests make a window of the history.
-	windowRequests = 100
-	// windowsKept bounds the windows of the history.
-	windowsKept = 64
+	// blockRequests is how many old requests make a block of the history.
+	blockRequests = 100
+	// blocksKept bounds the blocks of the history.
+	blocksKept = 600
+	// pairedRank and relievedRank are which of the old version's worst blocks
+	// limits the null hypothesis. While the versions are compared over the
+	// same interval, the very worst block may be a single accident.
+	pairedRank   = 2
+	relievedRank = 1
+	// noisyRatio is how much worse than its mean the worst block of an old
+	// version is that counts as noisy.
+	noisyRatio = 2.0
+	// noisyCap replaces intervalCap for an old version that is noisy, so that
+	// a burst of two seconds on the new version does not decide.
+	noisyCap = 2.0
 )
 
-// measure tests one rate of a route: the null hypothesis is that the new
-// version's rate is at most ratio times the old one's plus margin.
+// tolerance is how much worse than the old version is no regression: ratio
+// times the old version's rate, plus margin.
+type tolerance struct {
+	ratio, margin float64
+}
+
+// measure tests one rate of a route against the null hypothesis that the new
+// version's rate is within the tolerance.
 type measure struct {
-	name    string
-	ratio   float64
-	margin  float64
-	effects []float64
+	name string
+	// paired applies while both versions carry about the same load for each
+	// target, relieved when the old version carries much less, so that its
+	// history stands for it.
+	paired, relieved tolerance
+	effects          []float64
 	// logs holds the log of each alternative's mixture over onsets.
 	logs  []float64
 	doubt float64
 	// prior holds decayed counts of the old version.
 	priorHits, priorTotal float64
-	// window and worst hold the old version's rates over larger windows.
-	windowHits, windowTotal float64
-	windows                 []float64
+	// blocks holds the old version's rates over blocks of about a second,
+	// each two standard errors below its estimate.
+	blockHits, blockTotal float64
+	blocks                []float64
+	// worst holds the highest rates by rank, from 1.
+	worst [pairedRank + 1]float64
 	// hits and totals sum what was seen, for the reason.
 	oldHits, oldTotal, newHits, newTotal float64
 }
 
-func newMeasure(name string, ratio, margin float64, effects ...float64) *measure {
-	m := &measure{name: name, ratio: ratio, margin: margin, effects: effects}
+func newMeasure(name string, paired, relieved tolerance, effects ...float64) *measure {
+	m := &measure{name: name, paired: paired, relieved: relieved, effects: effects}
 	m.logs = slices.Repeat([]float64{math.Inf(-1)}, len(effects))
 	return m
 }
@@ -63,11 +82,15 @@
 
 func (m *measure) observe(in interval, weight float64) {
 	null := m.nullRate(in)
+	limit := intervalCap
+	if in.relieved && m.noisy() {
+		limit = noisyCap
+	}
 	for i, effect := range m.effects {
 		m.logs[i] = logAdd(m.logs[i], math.Log(weight/float64(len(m.effects))))
-		m.logs[i] += math.Min(logRatio(in, null, effect), intervalCap)
+		m.logs[i] += math.Min(logRatio(in, null, effect), limit)
 	}
-	m.doubt += math.Min(logRatio(in, null, m.effects[0]), intervalCap)
+	m.doubt += math.Min(logRatio(in, null, m.effects[0]), limit)
 	m.doubt = math.Max(m.doubt, 2*provedDoubt)
 	m.remember(in)
 }
@@ -83,17 +106,12 @@
 	total := in.oldTotal + scale*m.priorTotal
 	rate := (hits + 0.1) / (total + 1)
 	rate += math.Sqrt(rate * (1 - rate) / (total + 1))
-	if in.relieved || in.oldTotal < pairedRequests {
-		rate = math.Max(rate, m.worst())
-	}
-	return math.Min(m.ratio*rate+m.margin+in.allowed, maxNullRate)
-}
-
-func (m *measure) worst() float64 {
-	if len(m.windows) == 0 {
-		return 0
+	allowed, worst := m.paired, m.worst[pairedRank]
+	if in.relieved {
+		allowed, worst = m.relieved, m.worst[relievedRank]
 	}
-	return slices.Max(m.windows)
+	rate = math.Max(rate, worst)
+	return math.Min(allowed.ratio*rate+allowed.margin+in.allowed, maxNullRate)
 }
 
 func (m *measure) remember(in interval) {
@@ -101,21 +119,37 @@
 	m.newTotal += in.newTotal
 	m.oldHits += in.oldHits
 	m.oldTotal += in.oldTotal
-	m.priorHits = historyDecay*m.priorHits + in.oldHits
-	m.priorTotal = historyDecay*m.priorTotal + in.oldTotal
+	if in.oldTotal > 0 {
+		m.priorHits = historyDecay*m.priorHits + in.oldHits
+		m.priorTotal = historyDecay*m.priorTotal + in.oldTotal
+	}
 	if in.relieved {
 		return
 	}
-	m.windowHits += in.oldHits
-	m.windowTotal += in.oldTotal
-	if m.windowTotal < windowRequests {
+	m.blockHits += in.oldHits
+	m.blockTotal += in.oldTotal
+}
+
+// closeBlock ends a block of the history, unless it has too few requests.
+func (m *measure) closeBlock() {
+	if m.blockTotal < blockRequests {
 		return
 	}
-	m.windows = append(m.windows, m.windowHits/m.windowTotal)
-	if len(m.windows) > windowsKept {
-		m.windows = m.windows[1:]
+	low := math.Max(0, m.blockHits-2*math.Sqrt(m.blockHits)) / m.blockTotal
+	m.blockHits, m.blockTotal = 0, 0
+	m.blocks = append(m.blocks, low)
+	if len(m.blocks) > blocksKept {
+		m.blocks = m.blocks[1:]
 	}
-	m.windowHits, m.windowTotal = 0, 0
+	sorted := slices.Sorted(slices.Values(m.blocks))
+	for rank := 1; rank <= min(pairedRank, len(sorted)); rank++ {
+		m.worst[rank] = sorted[len(sorted)-rank]
+	}
+}
+
+// noisy reports whether the old version was much worse at times than on average.
+func (m *measure) noisy() bool {
+	return m.worst[relievedRank] > noisyRatio*m.oldRate()+m.paired.margin
 }
 
 func (m *measure) evidence() float64 {
--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -77,13 +77,12 @@
 // Planner decides the steps and the end of one open ticket. It is not safe
 // for concurrent use.
 type Planner struct {
-	open     *model.OpenTicket
 	epoch    uint64
 	step     Step
 	judge    Judge
 	schedule schedule
 	traffic  *traffic
-	targets  *targetWatch
+	targets  *TargetWatch
 	pending  []Sample
 	flushed  time.Time
 	created  time.Time
@@ -103,13 +102,12 @@
 	step.Ticket = cfg.Ticket.Ticket.Number
 	schedule := newSchedule(cfg.Ticket)
 	return &Planner{
-		open:     cfg.Ticket,
 		epoch:    cfg.Epoch,
 		step:     step,
 		judge:    judge,
 		schedule: schedule,
 		traffic:  newTraffic(),
-		targets:  newTargetWatch(schedule.warmUp(), step.Permille > 0),
+		targets:  NewTargetWatch(cfg.Ticket, step.Permille > 0),
 		flushed:  now,
 		created:  now,
 		stepAt:   now,
@@ -146,7 +144,7 @@
 	if p.ended != nil {
 		return *p.ended
 	}
-	p.targets.update(now, p.open, c.Targets)
+	p.targets.Update(now, c.Targets, p.step.Permille > 0)
 	p.flush(now)
 	decision := p.decide(now, c)
 	switch decision.Kind {
@@ -167,8 +165,7 @@
 	if len(p.pending) == 0 || now.Sub(p.flushed) < SampleInterval/2 {
 		return
 	}
-	stage := Stage{Permille: p.step.Permille, Cold: p.targets.cold()}
-	p.judge.Observe(now, stage, MergeSamples(p.pending))
+	p.judge.Observe(now, p.targets.Stage(now, p.step.Permille), MergeSamples(p.pending))
 	p.pending = p.pending[:0]
 	p.flushed = now
 }
@@ -227,6 +224,9 @@
 	if p.step.Permille >= FullProgress {
 		return p.schedule.done(p.stepAt)
 	}
+	if p.step.Permille == 0 {
+		return p.created.Add(minDwell)
+	}
 	earliest := p.stepAt.Add(p.schedule.dwell())
 	at := p.schedule.enter(nextPermille(p.step.Permille))
 	if at.Before(earliest) {
--- a/internal/move/route.go
+++ b/internal/move/route.go
@@ -6,7 +6,7 @@
 	relievedPermille = 250
 	// profileDecay is the weight that the old version's latency profile keeps
 	// for each interval.
-	profileDecay = 0.98
+	profileDecay = 0.998
 )
 
 // routeTest gathers the evidence of one route.
@@ -22,9 +22,9 @@
 
 func newRouteTest() *routeTest {
 	t := &routeTest{
-		errors:  newMeasure("error rate", 1.3, 0.001, 0.01, 0.03, 0.1, 0.3, 0.8),
-		slow:    newMeasure("slow requests", 1.5, 0.03, 0.07, 0.2, 0.5, 0.9),
-		stalled: newMeasure("stalled requests", 1.5, 0.02, 0.05, 0.3, 0.8),
+		errors:  newMeasure("error rate", tolerance{1.3, 0.001}, tolerance{2.5, 0.006}, 0.01, 0.03, 0.1, 0.3, 0.8),
+		slow:    newMeasure("slow requests", tolerance{1.5, 0.03}, tolerance{2.5, 0.06}, 0.07, 0.2, 0.5, 0.9),
+		stalled: newMeasure("stalled requests", tolerance{1.5, 0.02}, tolerance{2.5, 0.03}, 0.05, 0.3, 0.8),
 	}
 	t.measures = []*measure{t.errors, t.slow, t.stalled}
 	return t
@@ -40,7 +40,8 @@
 
 // flush turns the counts of the interval into evidence.
 func (t *routeTest) flush(stage Stage, weight float64) {
-	if t.old.Requests == 0 && t.new.Requests == 0 {
+	if stage.Short || t.old.Requests == 0 && t.new.Requests == 0 {
+		t.old, t.new = Sample{}, Sample{}
 		return
 	}
 	relieved := stage.Permille >= relievedPermille
@@ -61,6 +62,12 @@
 	t.old, t.new = Sample{}, Sample{}
 }
 
+func (t *routeTest) closeBlock() {
+	for _, m := range t.measures {
+		m.closeBlock()
+	}
+}
+
 func (t *routeTest) learn(relieved bool) {
 	if relieved {
 		return
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -21,6 +21,8 @@
 	// onsets is over how many later intervals the rest of the weight is spread
 	// before it decays.
 	onsets = 2000
+	// blockTime is the length of a block of the old version's history.
+	blockTime = time.Second
 	// intervalCap bounds the evidence of one interval, in nats, so that one
 	// burst of correlated failures cannot decide alone.
 	intervalCap = 6.0
@@ -35,6 +37,8 @@
 	verdict Verdict
 	routes  map[routeKey]*routeTest
 	seen    int
+	// blockAt is when the current block of the history began.
+	blockAt time.Time
 }
 
 type routeKey struct {
@@ -49,7 +53,7 @@
 }
 
 // Observe implements Judge.
-func (j *SequentialJudge) Observe(_ time.Time, stage Stage, samples []Sample) {
+func (j *SequentialJudge) Observe(now time.Time, stage Stage, samples []Sample) {
 	j.seen++
 	for i := range samples {
 		key := routeKey{samples[i].Key.Service, samples[i].Key.Route}
@@ -59,8 +63,15 @@
 		j.routes[key].add(&samples[i])
 	}
 	weight := onsetWeight(j.seen)
+	closing := now.Sub(j.blockAt) >= blockTime
+	if closing {
+		j.blockAt = now
+	}
 	for key, test := range j.routes {
 		test.flush(stage, weight)
+		if closing {
+			test.closeBlock()
+		}
 		j.decide(key, test)
 	}
 }
--- a/internal/move/targets.go
+++ b/internal/move/targets.go
@@ -1,37 +1,66 @@
 package move
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/model"
 )
 
-// targetsLostAfter is how long a new version may be without ready targets
-// once it has traffic.
-const targetsLostAfter = 10 * time.Second
+const (
+	// targetsLostAfter is how long a new version may be without ready targets
+	// once it has traffic.
+	targetsLostAfter = 10 * time.Second
+	// shortFraction is the fraction of the targets below which the rest is
+	// taken to be overloaded.
+	shortFraction = 0.6
+	// shortLimit bounds the time of a move during which a shortage of
+	// targets suspends judgement, as a version that keeps crashing is bad.
+	shortLimit = 15 * time.Second
+	// shortAfter is how long after a shortage its effects are still seen.
+	shortAfter = 1500 * time.Millisecond
+)
 
-// targetWatch follows the ready targets of the new versions.
-type targetWatch struct {
+// TargetWatch follows the ready targets of a ticket's new versions. It knows
+// how many are cold and whether too few are left, and gives a judge its Stage.
+type TargetWatch struct {
+	open   *model.OpenTicket
 	warmUp time.Duration
 	// warm is true when the targets that are seen first are warm, because
 	// they took traffic before a change of controller.
 	warm     bool
+	traffic  bool
 	services map[string]*watchedService
+	updated  time.Time
+	// shortSpent is the time of shortages so far, shortUntil when the effects
+	// of the last one end.
+	shortSpent time.Duration
+	shortUntil time.Time
 }
 
 type watchedService struct {
-	ready int
-	// arrivals holds when targets became ready that are not warm yet.
+	ready, most int
+	// arrivals holds since when the targets that are not warm have had traffic.
 	arrivals []time.Time
 	lostAt   time.Time
 }
 
-func newTargetWatch(warmUp time.Duration, warm bool) *targetWatch {
-	return &targetWatch{warmUp: warmUp, warm: warm, services: map[string]*watchedService{}}
+// NewTargetWatch returns a watch of the ticket. With warm, the targets that
+// it sees first are taken to be warm.
+func NewTargetWatch(open *model.OpenTicket, warm bool) *TargetWatch {
+	return &TargetWatch{
+		open:     open,
+		warmUp:   newSchedule(open).warmUp(),
+		warm:     warm,
+		traffic:  warm,
+		services: map[string]*watchedService{},
+	}
 }
 
-func (w *targetWatch) update(now time.Time, open *model.OpenTicket, counts map[string]TargetCount) {
-	for _, m := range open.Ticket.Moves {
+// Update takes the ready targets of each service, and whether the new
+// versions have traffic.
+func (w *TargetWatch) Update(now time.Time, counts map[string]TargetCount, traffic bool) {
+	for _, m := range w.open.Ticket.Moves {
 		s, ok := w.services[m.Service]
 		if !ok {
 			s = &watchedService{lostAt: now}
@@ -42,6 +71,10 @@
 		}
 		s.update(now, counts[m.Service].New, w.warmUp)
 	}
+	if traffic && !w.traffic {
+		w.startTraffic(now)
+	}
+	w.updateShort(now)
 }
 
 func (s *watchedService) update(now time.Time, ready int, warmUp time.Duration) {
@@ -55,10 +88,41 @@
 		s.lostAt = now
 	}
 	s.ready = ready
+	s.most = max(s.most, ready)
+}
+
+// startTraffic restarts the warm-up. Until now the targets were ready but
+// could not warm up.
+func (w *TargetWatch) startTraffic(now time.Time) {
+	w.traffic = true
+	for _, s := range w.services {
+		s.arrivals = slices.Repeat([]time.Time{now}, s.ready)
+	}
+}
+
+func (w *TargetWatch) updateShort(now time.Time) {
+	passed := now.Sub(w.updated)
+	first := w.updated.IsZero()
+	w.updated = now
+	if first || !w.traffic || w.shortSpent >= shortLimit {
+		return
+	}
+	for _, s := range w.services {
+		if float64(s.ready) < shortFraction*float64(s.most) {
+			w.shortSpent += passed
+			w.shortUntil = now.Add(shortAfter)
+			return
+		}
+	}
+}
+
+// Stage returns the stage at the progress.
+func (w *TargetWatch) Stage(now time.Time, permille uint32) Stage {
+	return Stage{Permille: permille, Cold: w.cold(), Short: now.Before(w.shortUntil)}
 }
 
 // ready reports whether every service has a ready target of the new version.
-func (w *targetWatch) ready() bool {
+func (w *TargetWatch) ready() bool {
 	for _, s := range w.services {
 		if s.ready == 0 {
 			return false
@@ -68,7 +132,7 @@
 }
 
 // counts returns the ready targets of each service.
-func (w *targetWatch) counts() []int {
+func (w *TargetWatch) counts() []int {
 	var counts []int
 	for _, s := range w.services {
 		counts = append(counts, s.ready)
@@ -77,7 +141,7 @@
 }
 
 // lost reports whether a new version has been without targets for too long.
-func (w *targetWatch) lost(now time.Time) bool {
+func (w *TargetWatch) lost(now time.Time) bool {
 	for _, s := range w.services {
 		if s.ready == 0 && now.Sub(s.lostAt) >= targetsLostAfter {
 			return true
@@ -87,7 +151,7 @@
 }
 
 // cold is the largest fraction of cold targets among the services.
-func (w *targetWatch) cold() float64 {
+func (w *TargetWatch) cold() float64 {
 	var cold float64
 	for _, s := range w.services {
 		if s.ready > 0 {
--- a/internal/replay/daemons.go
+++ b/internal/replay/daemons.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/move"
 )
 
@@ -11,6 +12,7 @@
 type daemon struct {
 	collector *move.Collector
 	brake     *move.Brake
+	targets   *move.TargetWatch
 	step      move.Step
 	incoming  []delivery
 	stopped   bool
@@ -25,10 +27,11 @@
 	step move.Step
 }
 
-func newDaemon(judge move.Judge) *daemon {
+func newDaemon(judge move.Judge, ticket *model.OpenTicket) *daemon {
 	return &daemon{
 		collector: move.NewCollector(),
 		brake:     move.NewBrake(judge),
+		targets:   move.NewTargetWatch(ticket, false),
 		stopAt:    -1,
 		pending:   map[int64][]move.Observation{},
 	}
@@ -73,9 +76,10 @@
 }
 
 // drain ends an interval and reports whether the daemon set its brake in it.
-func (d *daemon) drain(now time.Time) (samples []move.Sample, reason string, set bool) {
+func (d *daemon) drain(now time.Time, counts map[string]move.TargetCount) (samples []move.Sample, reason string, set bool) {
 	samples = d.collector.Drain()
-	d.brake.Observe(now, move.Stage{Permille: d.step.Permille, Cold: d.cold()}, samples)
+	d.targets.Update(now, counts, d.step.Permille > 0)
+	d.brake.Observe(now, d.targets.Stage(now, d.step.Permille), samples)
 	reason, set = d.brake.Set()
 	set = set && !d.braked
 	if set {
@@ -85,14 +89,6 @@
 	return samples, reason, set
 }
 
-// cold is all of the traffic on the first step, where targets warm up.
-func (d *daemon) cold() float64 {
-	if d.step.Number <= 1 {
-		return 1
-	}
-	return 0
-}
-
 // send schedules a delivery after a random delay of at most limit.
 func (d *daemon) send(rng *rand.Rand, now int64, limit time.Duration, step move.Step) {
 	at := now + rng.Int64N(limit.Milliseconds()+1)
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -85,7 +85,7 @@
 		out:      Outcome{End: Open, EndMs: -1, FullMs: -1, RecordedMs: -1, ShownMs: -1, EvidentMs: -1, StoppedMs: -1, ProvedMs: -1},
 	}
 	for range o.Daemons {
-		r.daemons = append(r.daemons, newDaemon(judge(move.BrakeFalseAlarmBound)))
+		r.daemons = append(r.daemons, newDaemon(judge(move.BrakeFalseAlarmBound), r.ticket))
 	}
 	return r
 }
@@ -149,7 +149,7 @@
 	if now%interval != phase {
 		return
 	}
-	samples, reason, set := d.drain(clock(now))
+	samples, reason, set := d.drain(clock(now), r.targets(now))
 	if set {
 		r.out.Brakes++
 		at := max(now, r.world.controlUntil) + r.options.StepDelay.Milliseconds()
@@ -193,17 +193,21 @@
 }
 
 func (r *run) conditions(now int64) move.Conditions {
-	c := move.Conditions{
+	return move.Conditions{
 		EvidenceLive: now >= r.world.controlUntil+settleMs || r.world.controlUntil == 0,
-		Targets:      map[string]move.TargetCount{},
+		Targets:      r.targets(now),
 	}
+}
+
+func (r *run) targets(now int64) map[string]move.TargetCount {
+	counts := map[string]move.TargetCount{}
 	for _, s := range r.world.order {
-		c.Targets[s.name] = move.TargetCount{
+		counts[s.name] = move.TargetCount{
 			New: s.versions[newVersion].ready(now),
 			Old: s.versions[oldVersion].ready(now),
 		}
 	}
-	return c
+	return counts
 }
 
 func (r *run) apply(now int64, d move.Decision) {
