--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -169,8 +169,9 @@
 		b.background.drop(1)
 		return
 	}
-	write := answerWrite(itemKey(key), a, b.cfg.Holder, answer)
-	b.background.add(job{write: write, expires: time.Now().Add(answerLifetime)})
+	now := time.Now()
+	write := answerWrite(itemKey(key), a, b.cfg.Holder, answer, now)
+	b.background.add(job{write: write, expires: now.Add(answerLifetime)})
 }
 
 // Close refuses new claims, then waits until the queued claims are decided and
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -19,9 +19,9 @@
 type claimBody struct {
 	Digest string `json:"digest"`
 	Holder string `json:"holder,omitempty"`
-	// ClaimedAt is the holder's clock in milliseconds since 1970. It is for
-	// people who read the table; nothing compares it.
-	ClaimedAt int64       `json:"claimed_at,omitempty"`
+	// WrittenAt is the holder's clock in milliseconds since 1970. It is for
+	// the operator who deletes old claims; no daemon compares it.
+	WrittenAt int64       `json:"written_at"`
 	Answer    *answerBody `json:"answer,omitempty"`
 }
 
@@ -105,7 +105,7 @@
 
 // claimWrite takes the key for the attempt if nobody holds it.
 func claimWrite(key platform.Key, a attempt, holder string, now time.Time) platform.Write {
-	body := encodeBody(&claimBody{Digest: a.digest, Holder: holder, ClaimedAt: now.UnixMilli()})
+	body := encodeBody(&claimBody{Digest: a.digest, Holder: holder, WrittenAt: now.UnixMilli()})
 	return platform.Write{
 		Op:        platform.Put,
 		Condition: platform.IfAbsent,
@@ -114,9 +114,9 @@
 }
 
 // answerWrite adds the answer to the attempt's claim.
-func answerWrite(key platform.Key, a attempt, holder string, answer Answer) platform.Write {
+func answerWrite(key platform.Key, a attempt, holder string, answer Answer, now time.Time) platform.Write {
 	kept := &answerBody{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
-	body := encodeBody(&claimBody{Digest: a.digest, Holder: holder, Answer: kept})
+	body := encodeBody(&claimBody{Digest: a.digest, Holder: holder, WrittenAt: now.UnixMilli(), Answer: kept})
 	return platform.Write{
 		Op:        platform.Put,
 		Condition: platform.IfRev,
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -24,6 +24,23 @@
 	RunSpecs(t, "once")
 }
 
+// hookedTable passes writes through a function.
+type hookedTable struct {
+	platform.Table
+	transact func(next platform.Table, writes []platform.Write) error
+}
+
+func (t *hookedTable) Transact(_ context.Context, writes []platform.Write) error {
+	return t.transact(t.Table, writes)
+}
+
+func hook(transact func(platform.Table, []platform.Write) error) func(*once.Config) {
+	return func(c *once.Config) {
+		c.LatePause = 500 * time.Millisecond
+		c.Table = &hookedTable{Table: c.Table, transact: transact}
+	}
+}
+
 // generous bounds what is expected to happen.
 const generous = 60 * time.Second
 
@@ -132,23 +149,22 @@
 		Expect(claim(b, "small").Decision).To(Equal(once.Replay))
 	})
 
-	// claimAll claims the keys from both batchers at once and counts the
-	// grants and the failures of each key.
-	claimAll := func(batchers []*once.Batcher, keys, repeats int) (grants, failures []atomic.Int32) {
+	// claimAll claims the keys from all batchers at once, each as often as
+	// said, and counts the grants and the failures of each key.
+	claimAll := func(batchers []*once.Batcher, prefix string, keys, repeats int) (grants, failures []atomic.Int32) {
 		grants, failures = make([]atomic.Int32, keys), make([]atomic.Int32, keys)
 		var claims sync.WaitGroup
 		for i := range keys {
-			for range repeats {
-				for _, b := range batchers {
-					claims.Go(func() {
-						grant, err := b.Claim(ctx, key(fmt.Sprint("race", i)), "digest")
-						if err != nil {
-							failures[i].Add(1)
-						} else if grant.Decision == once.Granted {
-							grants[i].Add(1)
-						}
-					})
-				}
+			for n := range repeats * len(batchers) {
+				claims.Go(func() {
+					b := batchers[n%len(batchers)]
+					grant, err := b.Claim(ctx, key(fmt.Sprint(prefix, i)), "digest")
+					if err != nil {
+						failures[i].Add(1)
+					} else if grant.Decision == once.Granted {
+						grants[i].Add(1)
+					}
+				})
 			}
 		}
 		claims.Wait()
@@ -157,14 +173,16 @@
 
 	DescribeTable("guards against two grants of one key",
 		func(faults standin.Faults) {
-			const keys = 40
+			const waves, keys = 40, 5
 			a, b := newBatcher(nil), newBatcher(nil)
 			stand.SetFaults(faults)
-			grants, failures := claimAll([]*once.Batcher{a, b}, keys, 2)
-			for i := range keys {
-				Expect(grants[i].Load()).To(BeNumerically("<=", 1), "key %d", i)
-				if failures[i].Load() == 0 {
-					Expect(grants[i].Load()).To(BeNumerically("==", 1), "key %d", i)
+			for wave := range waves {
+				grants, failures := claimAll([]*once.Batcher{a, b}, fmt.Sprint(wave, "-"), keys, 2)
+				for i := range keys {
+					Expect(grants[i].Load()).To(BeNumerically("<=", 1), "wave %d, key %d", wave, i)
+					if failures[i].Load() == 0 {
+						Expect(grants[i].Load()).To(BeNumerically("==", 1), "wave %d, key %d", wave, i)
+					}
 				}
 			}
 			if faults == (standin.Faults{}) {
@@ -188,6 +206,35 @@
 		Expect(stand.Stats().Lost).To(BeEquivalentTo(1))
 	})
 
+	It("guards against a lost refusal that is taken for a grant", func() {
+		patient := newBatcher(nil)
+		hooked := newBatcher(hook(func(next platform.Table, writes []platform.Write) error {
+			_ = next.Transact(ctx, writes)
+			return fault.New(fault.UnknownOutcome, "the answer was lost")
+		}))
+		Expect(claim(patient, "k").Decision).To(Equal(once.Granted))
+		Expect(claim(hooked, "k").Decision).To(Equal(once.InDoubt))
+	})
+
+	It("guards against a write that arrives after the release and holds the key for ever", func() {
+		var late atomic.Pointer[[]platform.Write]
+		var table platform.Table
+		patient := newBatcher(func(c *once.Config) { table = c.Table })
+		hooked := newBatcher(hook(func(next platform.Table, writes []platform.Write) error {
+			if writes[0].Op == platform.Delete {
+				return next.Transact(ctx, writes)
+			}
+			late.Store(&writes)
+			return fault.New(fault.UnknownOutcome, "the write is on its way")
+		}))
+		_, err := hooked.Claim(ctx, key("k"), "digest")
+		Expect(fault.KindOf(err)).To(Equal(fault.Unavailable))
+		Eventually(func() uint64 { return hooked.Stats().Released }).WithTimeout(generous).Should(BeEquivalentTo(1))
+		Expect(table.Transact(ctx, *late.Load())).To(Succeed())
+		waitFor(hooked)
+		Expect(claim(patient, "k").Decision).To(Equal(once.Granted))
+	})
+
 	It("guards against a write that arrives after its timeout and grants the key a second time", func() {
 		hasty := newBatcher(func(c *once.Config) { c.Timeout, c.LatePause = 200*time.Millisecond, 500*time.Millisecond })
 		patient := newBatcher(nil)
@@ -248,7 +295,7 @@
 
 	It("guards against a transaction for each claim", func() {
 		b := newBatcher(func(c *once.Config) { c.Window = 500 * time.Millisecond })
-		grants, _ := claimAll([]*once.Batcher{b}, 250, 1)
+		grants, _ := claimAll([]*once.Batcher{b}, "", 250, 1)
 		for i := range grants {
 			Expect(grants[i].Load()).To(BeNumerically("==", 1))
 		}
@@ -276,7 +323,7 @@
 	It("guards against more writes in a second than the limit", func() {
 		b := newBatcher(func(c *once.Config) { c.WritesPerSecond = 20 })
 		start := time.Now()
-		claimAll([]*once.Batcher{b}, 60, 1)
+		claimAll([]*once.Batcher{b}, "", 60, 1)
 		// 20 claims are written at once and 40 at 20 a second.
 		Expect(time.Since(start)).To(BeNumerically(">=", 1900*time.Millisecond))
 		Expect(stand.Stats().ItemWrites).To(BeEquivalentTo(60))
