End stalled uploads at their deadline

http.Transport waits for a read of the body that is in progress before it returns, so a caller that stopped sending held its request, and a slot, beyond the deadline.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -44,6 +44,14 @@
 	return notRun(http.StatusBadRequest, err)
 }
 
+// badBody is the answer to a request whose body could not be read.
+func badBody(err error) *refusal {
+	if fault.Is(err, fault.Timeout) {
+		return notRun(http.StatusGatewayTimeout, err)
+	}
+	return notRun(http.StatusBadRequest, err)
+}
+
 // write sends the answer. The request's id may be empty.
 func (a *refusal) write(w http.ResponseWriter, id string) {
 	body := ErrorBody{Kind: fault.KindOf(a.err), Message: a.err.Error(), Outcome: a.outcome, Request: id}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -244,7 +244,7 @@
 	}
 	setClock(h, x.o.config.Clock)
 	x.finished(answered(a.outcome()))
-	allowEarlyAnswer(x.w, x.r, x.source)
+	x.early.beforeAnswer(x.source)
 	result := relay(x.w, response, nil)
 	if result.upstream != nil || result.caller != nil {
 		cut()
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -5,10 +5,13 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 )
@@ -55,7 +58,18 @@
 	return s.err == io.EOF
 }
 
-// fill reads until the prefix is known or the body ends.
+// limitTime makes reads from the caller fail at the deadline. A read that hangs
+// would otherwise keep http.Transport from returning, because it waits until
+// the body is no longer in use. The server removes the limit before the next
+// request of the connection.
+func (s *source) limitTime(w http.ResponseWriter, deadline time.Time) {
+	if !s.ended() {
+		_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	}
+}
+
+// fill reads until the prefix is known or the body ends. It fails with
+// fault.Timeout when the caller does not send it in time.
 func (s *source) fill() error {
 	for {
 		s.mu.Lock()
@@ -64,6 +78,9 @@
 		if err == io.EOF || done {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return fault.Wrap(err, fault.Timeout, "the request's body did not come before the deadline")
+		}
 		if err != nil {
 			return fault.Wrap(err, fault.Protocol, "cannot read the request's body")
 		}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -5,8 +5,12 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 )
@@ -126,30 +130,48 @@
 // taken for a whole one.
 func cut() { panic(http.ErrAbortHandler) }
 
-// allowEarlyAnswer lets the answer begin while the request's body is still
-// being read; by default the server reads the whole body first. The server
-// cannot use the connection again after that: it panics when the body ends
-// after the handler.
-func allowEarlyAnswer(w http.ResponseWriter, r *http.Request, src *source) {
-	if !src.ended() {
-		answerEarly(w, r)
+// early lets an answer begin while the request's body is still being read; by
+// default the server reads the body first.
+type early struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	started bool
+}
+
+// start is called before the answer's status is sent. The server cannot use
+// the connection again: it panics when the body ends after the handler.
+func (e *early) start() {
+	if e.started || e.r.ProtoMajor != 1 {
+		return
+	}
+	if err := http.NewResponseController(e.w).EnableFullDuplex(); err == nil {
+		setOne(e.w.Header(), "Connection", "close")
+		e.started = true
 	}
 }
 
-// refuseEarly lets a refusal go out although a body of unknown length, which
-// can take long, has not been read.
-func refuseEarly(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength < 0 {
-		answerEarly(w, r)
+// end is called at the end of the handler. It ends a read of the body that is
+// in progress, because the server waits for it.
+func (e *early) end(src *source) {
+	if e.started && (src == nil || !src.ended()) {
+		_ = http.NewResponseController(e.w).SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-func answerEarly(w http.ResponseWriter, r *http.Request) {
-	if r.ProtoMajor != 1 {
-		return
+// beforeAnswer is called before a target's answer is passed on.
+func (e *early) beforeAnswer(src *source) {
+	if !src.ended() {
+		e.start()
 	}
-	if err := http.NewResponseController(w).EnableFullDuplex(); err == nil {
-		setOne(w.Header(), "Connection", "close")
+}
+
+// beforeRefusal is called before a refusal. Bodies of unknown length and
+// bodies that did not come in time can take long. Other bodies are left to the
+// server, so that a shed request does not cost a connection.
+func (e *early) beforeRefusal(src *source, status int) {
+	late := status == http.StatusGatewayTimeout && src != nil && !src.ended()
+	if late || e.r.ContentLength < 0 {
+		e.start()
 	}
 }
 
@@ -180,7 +202,7 @@
 	if !result.wrote {
 		answer = notRun
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(result.err, os.ErrDeadlineExceeded) {
 		return answer(http.StatusGatewayTimeout, fault.Wrap(result.err, fault.Timeout, "no answer from %s before the deadline", to))
 	}
 	if !result.wrote {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -76,7 +76,9 @@
 func (n *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.config.Metrics.begin(inboundSide)
 	defer n.config.Metrics.end(inboundSide)
-	s := &service{n: n, w: w, r: r, served: n.current.Load(), class: classOf(r.Header)}
+	s := &service{n: n, w: w, r: r, served: n.current.Load(), class: classOf(r.Header), cancel: func() {}}
+	s.early = early{w: w, r: r}
+	defer s.end()
 	if !n.flow.enter() {
 		refused := notRun(http.StatusServiceUnavailable, fault.New(fault.NotReady, "the daemon is stopping"))
 		refused.refused = true
@@ -88,7 +90,6 @@
 		s.refuse(refused)
 		return
 	}
-	defer s.cancel()
 	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.class)
 	if err != nil {
 		s.shed(err)
@@ -98,6 +99,11 @@
 	s.serve()
 }
 
+func (s *service) end() {
+	s.early.end(s.source)
+	s.cancel()
+}
+
 // service is one request at the inbound proxy.
 type service struct {
 	n      *Inbound
@@ -108,6 +114,7 @@
 
 	in       input
 	source   *source
+	early    early
 	once     bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -130,15 +137,16 @@
 		s.in.expects = false
 	}
 	s.source = newSource(s.r, prefixBytes)
+	s.limitTime()
+	s.source.limitTime(s.w, s.deadline)
 	if s.n.strikes.Any() {
 		if err := s.source.fill(); err != nil {
-			return notRun(http.StatusBadRequest, err)
+			return badBody(err)
 		}
 		if s.n.strikes.Quarantined(s.n.config.Now(), s.fingerprint()) {
 			return quarantined()
 		}
 	}
-	s.limitTime()
 	return nil
 }
 
@@ -187,7 +195,7 @@
 func (s *service) refuse(refused *refusal) {
 	s.setLoad()
 	s.finished(refused.outcome)
-	refuseEarly(s.w, s.r)
+	s.early.beforeRefusal(s.source, refused.status)
 	refused.write(s.w, s.in.id)
 }
 
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -124,15 +124,21 @@
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.config.Metrics.begin(outboundSide)
 	defer o.config.Metrics.end(outboundSide)
-	x := &exchange{o: o, w: w, r: r, started: o.config.Now(), snapshot: o.current.Load()}
+	x := &exchange{o: o, w: w, r: r, started: o.config.Now(), snapshot: o.current.Load(), cancel: func() {}}
+	x.early = early{w: w, r: r}
+	defer x.end()
 	if refused := x.prepare(); refused != nil {
 		x.refuse(refused)
 		return
 	}
-	defer x.cancel()
 	x.run()
 }
 
+func (x *exchange) end() {
+	x.early.end(x.source)
+	x.cancel()
+}
+
 // exchange is one request at the outbound proxy.
 type exchange struct {
 	o        *Outbound
@@ -144,6 +150,7 @@
 	in       input
 	route    *routing.Route
 	source   *source
+	early    early
 	ctx      context.Context
 	cancel   context.CancelFunc
 	deadline time.Time
@@ -176,15 +183,6 @@
 
 func (x *exchange) prepareBody() *refusal {
 	x.source = newSource(x.r, replayBytes)
-	if x.o.strikes.Any() {
-		if err := x.source.fill(); err != nil {
-			return notRun(http.StatusBadRequest, err)
-		}
-		print := fingerprint(x.r, x.in.key, x.source.prefix())
-		if x.o.strikes.Quarantined(x.o.config.Now(), print) {
-			return quarantined()
-		}
-	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = model.DefaultTimeout
@@ -197,6 +195,20 @@
 	}
 	x.deadline = time.Now().Add(timeout)
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(answerGrace))
+	x.source.limitTime(x.w, x.deadline.Add(answerGrace))
+	return x.checkQuarantine()
+}
+
+func (x *exchange) checkQuarantine() *refusal {
+	if !x.o.strikes.Any() {
+		return nil
+	}
+	if err := x.source.fill(); err != nil {
+		return badBody(err)
+	}
+	if x.quarantined() {
+		return quarantined()
+	}
 	return nil
 }
 
@@ -218,7 +230,7 @@
 		setOne(x.w.Header(), RequestHeader, x.in.id)
 	}
 	x.finished(refused.outcome)
-	refuseEarly(x.w, x.r)
+	x.early.beforeRefusal(x.source, refused.status)
 	refused.write(x.w, x.in.id)
 }
 
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -99,6 +100,22 @@
 		Expect(got.body).To(Equal("kept"))
 	})
 
+	// Guards against a stalled upload that holds a slot, or its caller, beyond
+	// the deadline.
+	DescribeTable("ends a stalled upload at its deadline", func(once bool) {
+		m := newMesh(model.Route{Once: once}, &counter{})
+		DeferCleanup(m.close)
+		conn, err := net.Dial("tcp", m.front.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(patience))).To(Succeed())
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\n%s: 300\r\n%s: k\r\nContent-Length: 9\r\n\r\npart",
+			proxy.DeadlineHeader, proxy.KeyHeader)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(504))
+	}, Entry("once", true), Entry("not once", false))
+
 	// Guards against a refusal that waits for an upload which takes long.
 	It("refuses a streamed upload before its end", func() {
 		m := newMesh(model.Route{}, &counter{})
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -71,7 +71,7 @@
 		return claim{}, unclaimed(fault.New(fault.Unavailable, "the daemon cannot claim requests"))
 	}
 	if err := s.source.fill(); err != nil {
-		return claim{}, notRun(http.StatusBadRequest, err)
+		return claim{}, badBody(err)
 	}
 	digest := requestDigest(s.r, s.source.prefix(), s.source.length)
 	grant, err := s.n.config.Claimer.Claim(s.ctx, key, digest)
@@ -149,7 +149,7 @@
 	refused.refused = result.refused
 	if refused.outcome == NotRun {
 		held.release()
-	} else if s.ctx.Err() == nil {
+	} else if refused.status != http.StatusGatewayTimeout {
 		refused.crash = s.crashed(request)
 	}
 	s.refuse(refused)
@@ -174,7 +174,7 @@
 	if held.claimer != nil {
 		kept = &keptAnswer{limit: keptAnswerBytes}
 	}
-	allowEarlyAnswer(s.w, s.r, s.source)
+	s.early.beforeAnswer(s.source)
 	result := relay(s.w, response, kept)
 	if result.upstream != nil && s.ctx.Err() == nil {
 		s.crashed(request)
