--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -154,6 +154,19 @@
 	return nil
 }
 
+// parseRoute returns the name of the route that the outbound daemon matched.
+// It labels metrics, which must not grow with arbitrary names.
+func parseRoute(h http.Header) (string, error) {
+	name, _, err := single(h, RouteHeader)
+	if err != nil {
+		return "", err
+	}
+	if len(name) > model.MaxNameLength || strings.ContainsFunc(name, notIDRune) {
+		return "", fault.New(fault.Invalid, "header %s is not a route's name", RouteHeader)
+	}
+	return name, nil
+}
+
 func notVisible(r rune) bool { return r < '!' || r > '~' }
 
 func (in *input) parseClock(h http.Header) error {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -113,6 +113,7 @@
 	class  model.Class
 
 	in       input
+	route    string
 	source   *source
 	early    early
 	once     bool
@@ -130,6 +131,9 @@
 	if s.in, err = parseInput(s.r.Header); err != nil {
 		return badInput(err)
 	}
+	if s.route, err = parseRoute(s.r.Header); err != nil {
+		return badInput(err)
+	}
 	s.n.config.Clock.Saw(s.in.clock)
 	s.once = s.r.Header.Get(OnceHeader) != ""
 	if s.r.Header.Get(hopExpectHeader) != "" {
@@ -214,5 +218,5 @@
 	if s.served != nil {
 		version = s.served.target.Version
 	}
-	s.n.config.Metrics.finished(inboundSide, s.r.Header.Get(RouteHeader), outcome, version)
+	s.n.config.Metrics.finished(inboundSide, s.route, outcome, version)
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -126,7 +126,7 @@
 	defer body.Close()
 	begun := s.n.config.Now()
 	result := s.served.link.send(s.ctx, s.outgoing(body))
-	s.n.config.Metrics.firstByte(inboundSide, s.r.Header.Get(RouteHeader), s.n.config.Now().Sub(begun))
+	s.n.config.Metrics.firstByte(inboundSide, s.route, s.n.config.Now().Sub(begun))
 	if result.err != nil {
 		s.failed(result, request, held)
 		return
--- a/internal/routing/strikes.go
+++ b/internal/routing/strikes.go
@@ -12,6 +12,8 @@
 	QuarantineStrikes = 2
 	// QuarantineTime is how long a crash count is kept after the last crash.
 	QuarantineTime = 10 * time.Minute
+	// sweepInterval keeps requests from looking through all counts each time.
+	sweepInterval = 10 * time.Second
 	// maxStrikes bounds the fingerprints that one daemon remembers.
 	maxStrikes = 4096
 )
@@ -25,6 +27,8 @@
 	mu     sync.Mutex
 	own    map[uint64]strike
 	shared map[uint64]uint32
+	// swept is when expired counts were last removed.
+	swept time.Time
 }
 
 type strike struct {
@@ -65,11 +69,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.forget(now)
-	return max(s.own[fingerprint].count, s.shared[fingerprint]) >= QuarantineStrikes
+	if now.Sub(s.swept) >= sweepInterval {
+		s.forget(now)
+	}
+	own := s.own[fingerprint]
+	if now.Sub(own.last) >= QuarantineTime {
+		own.count = 0
+	}
+	return max(own.count, s.shared[fingerprint]) >= QuarantineStrikes
 }
 
 func (s *Strikes) forget(now time.Time) {
+	s.swept = now
 	var oldest uint64
 	var oldestAt time.Time
 	for fingerprint, seen := range s.own {
