Replace a controller that alone cannot reach the platform

Cause: daemons watch the lease only without a path to the controller, so one that lost just its way to the platform stayed controller; tickets that others accepted were not distributed. Ruled out: letting all daemons watch the lease (reads would grow with the fleet). Heartbeats now say that the platform is down, the controller's direct children then watch the lease, and a replaced controller hears of it from its children.

--- a/internal/core/children.go
+++ b/internal/core/children.go
@@ -216,6 +216,8 @@
 		n.strikesReceived(id, body.Strikes.GetStrikes())
 	case *wire.Frame_CommitHint:
 		n.hintCommit(body.CommitHint.GetRevision())
+	case *wire.Frame_Controller:
+		n.learnController(controllerInfo{vm: body.Controller.GetVm(), epoch: body.Controller.GetEpoch(), address: body.Controller.GetPeerAddress()})
 	case *wire.Frame_RootProbe:
 		n.probeReceived(id, body.RootProbe)
 	default:
@@ -238,7 +240,9 @@
 	case *wire.Frame_Endpoints:
 		n.mergeEndpoints(id, body.Endpoints.GetEndpoints())
 	case *wire.Frame_Steps:
-		n.stepsReceived(body.Steps.GetSteps())
+		if p := n.tree.parent; p != nil && p.id == id && !p.stale {
+			n.stepsReceived(body.Steps.GetSteps())
+		}
 	case *wire.Frame_Brakes:
 		n.brakesReceived(id, body.Brakes.GetBrakes())
 	case *wire.Frame_Strikes:
@@ -250,11 +254,26 @@
 	case *wire.Frame_Redirect:
 		n.redirectReceived(id)
 	case *wire.Frame_Heartbeat:
+		n.heartbeatReceived(id, body.Heartbeat)
 	default:
 		n.refuseLink(id, "unexpected frame from a parent")
 	}
 }
 
+func (n *Node) heartbeatReceived(id peer.LinkID, h *wire.Heartbeat) {
+	p := n.tree.parent
+	if p == nil || p.id != id {
+		return
+	}
+	if h.GetEpoch() < n.controller.epoch {
+		p.stale = true
+		n.setPath(nil)
+		n.sendUp(n.controllerFrame())
+		return
+	}
+	p.platformDown = h.GetPlatformDown()
+}
+
 // redirectReceived gives up a parent that has no room.
 func (n *Node) redirectReceived(id peer.LinkID) {
 	if d := n.tree.dialing; d != nil && d.id == id {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -148,6 +148,20 @@
 		m.expectRevision(1)
 	})
 
+	It("replaces a controller that alone cannot reach the platform", func() {
+		old := m.controller()
+		m.offPlatform = func(d *fakeDaemon) bool { return d == old }
+		m.run(time.Second)
+		taker := m.daemons[20]
+		if taker == old {
+			taker = m.daemons[19]
+		}
+		Expect(m.submit(taker, 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(10 * time.Second)
+		m.expectRevision(1)
+		Expect(old.node.View().IsRoot).To(BeFalse())
+	})
+
 	It("refuses the writes and steps of a controller that was paused past its lease", func() {
 		old := m.controller()
 		Expect(m.submit(old, 1, ticket(1)).Err).NotTo(HaveOccurred())
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -54,9 +54,14 @@
 
 // isCandidate limits the readers of the lease: nobody reads it while there is
 // a path to the controller, then two members of each failure domain do, and
-// more as time goes by, since the first ones may be dead.
+// more as time goes by, since the first ones may be dead. The controller's own
+// children read it as well while the controller cannot reach the platform;
+// one that can then takes over, and in an outage nobody can.
 func (n *Node) isCandidate() bool {
-	if n.rooted() || !n.announce.loaded {
+	if n.rooted() {
+		return n.tree.parent != nil && n.tree.parent.platformDown
+	}
+	if !n.announce.loaded {
 		return false
 	}
 	without := n.now.Sub(n.tree.unrootedSince)
@@ -232,5 +237,14 @@
 	if n.lease.held && c.vm != n.cfg.VM {
 		n.loseLease()
 	}
+	if p := n.tree.parent; p != nil && !n.lease.held {
+		n.sendUp(n.controllerFrame())
+		n.tree.nextDial = n.now
+	}
 	n.sendWelcomes()
 }
+
+func (n *Node) controllerFrame() *wire.Frame {
+	c := n.controller
+	return &wire.Frame{Body: &wire.Frame_Controller{Controller: &wire.Controller{Vm: c.vm, Epoch: c.epoch, PeerAddress: c.address}}}
+}
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -70,7 +70,7 @@
 
 func (h *history) act(t *rapid.T, m *mesh) {
 	d := m.draw(t, "daemon")
-	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "controller"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "controller", "controller-off-platform", "cut-pair"}).Draw(t, "action") {
 	case "kill":
 		d.kill()
 	case "start":
@@ -93,6 +93,12 @@
 		m.cut = func(a, b *fakeDaemon) bool { return false }
 	case "off-platform":
 		m.offPlatform = func(other *fakeDaemon) bool { return other.domain == d.domain }
+	case "controller-off-platform":
+		c := m.controller()
+		m.offPlatform = func(other *fakeDaemon) bool { return other == c }
+	case "cut-pair":
+		c := m.controller()
+		m.cut = func(a, b *fakeDaemon) bool { return a == c && b.domain == d.domain || b == c && a.domain == d.domain }
 	case "submit":
 		h.submit(m, d, "")
 	case "race":
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -57,6 +57,11 @@
 	path      []string
 	lastHeard time.Time
 	resync    time.Time
+	// platformDown is set while the parent is the controller and cannot reach
+	// the platform.
+	platformDown bool
+	// stale is set while the parent follows a controller that was replaced.
+	stale bool
 }
 
 func (t *tree) init(now time.Time) {
@@ -115,7 +120,8 @@
 		return
 	}
 	t.nextHeartbeat = n.now.Add(n.cfg.Timings.Heartbeat)
-	frame := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Epoch: n.lease.epoch}}}
+	heartbeat := &wire.Heartbeat{Epoch: n.lease.epoch, PlatformDown: n.calls.down}
+	frame := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: heartbeat}}
 	for _, id := range n.childIDs() {
 		n.send(id, frame)
 	}
@@ -267,12 +273,17 @@
 		n.learnController(controllerInfo{vm: c.GetVm(), epoch: c.GetEpoch(), address: c.GetPeerAddress()})
 	}
 	path := w.GetPath()
-	if slices.Contains(path, n.cfg.VM) {
+	stale := w.GetController().GetEpoch() < n.controller.epoch
+	if stale || slices.Contains(path, n.cfg.VM) {
 		path = nil
 	}
 	switch {
 	case t.parent != nil && t.parent.id == id:
 		t.parent.lastHeard = n.now
+		t.parent.stale = stale
+		if stale {
+			n.sendUp(n.controllerFrame())
+		}
 		n.setPath(path)
 	case t.dialing != nil && t.dialing.id == id:
 		n.parentWelcomes(path, w)
@@ -296,6 +307,7 @@
 		n.effects = append(n.effects, CloseLink{Link: t.parent.id})
 	}
 	wasRooted := n.rooted()
+	d.stale = w.GetController().GetEpoch() < n.controller.epoch
 	t.parent = d
 	t.dialing = nil
 	t.backoff = 0
