Check links for silence more often, and test each side of a frozen link alone

A frozen peer was noticed after 4.5 s, with little room to the limit of 5 s. The former test froze both directions: whichever side noticed first closed the connection of the other one, so the kind of the second failure varied. Each side now has a test in which only it can notice.

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -39,7 +39,10 @@
 	// allows two pings to be late.
 	silenceLimit = 4 * time.Second
 	// watchInterval is the time between checks for silence.
-	watchInterval = 500 * time.Millisecond
+	watchInterval = 250 * time.Millisecond
+	// pauseLimit is the time between two checks above which this process was
+	// paused itself. Shorter pauses cannot make a live peer seem silent.
+	pauseLimit = time.Second
 	// closeTimeout bounds the writing of the queue of a closing link.
 	closeTimeout = 5 * time.Second
 	// lingerTimeout bounds the wait until the peer has read the last frame.
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -101,5 +101,6 @@
 	It("notices silence within 5 s and allows two lost pings", func() {
 		Expect(silenceLimit + watchInterval).To(BeNumerically("<", 5*time.Second))
 		Expect(silenceLimit).To(BeNumerically(">", 2*pingInterval))
+		Expect(pingInterval+pauseLimit).To(BeNumerically("<", silenceLimit), "a short pause must not look like silence")
 	})
 })
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -212,8 +212,9 @@
 			return
 		}
 		now := time.Now()
-		// After a pause of this process, bytes of the peer may wait unread.
-		if now.Sub(last) > silenceLimit/2 {
+		// After a pause of this process, bytes of the peer may wait unread, and
+		// the dialing side has sent no ping to answer.
+		if now.Sub(last) > pauseLimit {
 			p.conn.touch()
 		}
 		last = now
--- a/internal/peer/yamux_test.go
+++ b/internal/peer/yamux_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"strings"
@@ -115,18 +116,30 @@
 		Eventually(accepted.log(kept)).Should(Equal([]string{"up", "9"}))
 	})
 
-	It("end on both sides when no byte arrives any more, so that a frozen peer is noticed", func() {
+	It("end when no byte of the accepting side arrives any more, so that a frozen parent is noticed", func() {
 		server, accepted := start(listening())
 		client, dialed := start(Config{})
 		proxy := toxic(server.Addr())
 		client.Dial(1, proxy.Listen)
 		id := accepted.up(1)
-		for _, stream := range []string{"upstream", "downstream"} {
-			_, err := proxy.Toxics.AddToxicJson(strings.NewReader(`{"type":"timeout","stream":"` + stream + `","attributes":{"timeout":0}}`))
-			Expect(err).NotTo(HaveOccurred())
-		}
+		// The accepting side still hears pings, so that it does not end the link first.
+		_, err := proxy.Toxics.AddToxicJson(strings.NewReader(`{"type":"timeout","stream":"downstream","attributes":{"timeout":0}}`))
+		Expect(err).NotTo(HaveOccurred())
 		Expect(dialed.down(1)).To(Equal(fault.Timeout))
-		Expect(accepted.down(id)).To(Equal(fault.Timeout))
+		Expect(accepted.down(id)).To(Equal(fault.Unavailable))
+	})
+
+	It("end when no byte of the dialing side arrives any more, so that a frozen child is noticed", func() {
+		server, accepted := start(listening())
+		client, _ := start(Config{})
+		raw, err := net.Dial("tcp", server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		// A pipe that is only opened sends no pings, as a frozen process.
+		p, err := client.open(context.Background(), raw, true)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.close)
+		Expect(accepted.down(accepted.up(1))).To(Equal(fault.Timeout))
+		Eventually(p.session.IsClosed).Should(BeTrue())
 	})
 
 	It("end when the queue overflows, so that a peer that does not read cannot use up the memory", func() {
