--- a/test/caller/request.go
+++ b/test/caller/request.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
 	"github.com/magnoliamount/magnoliamount/test/target"
 )
@@ -104,7 +105,7 @@
 	}
 	httpRequest, err := http.NewRequestWithContext(ctx, q.method, address.String(), nil)
 	if err != nil {
-		return nil, err
+		return nil, fault.Wrap(err, fault.Invalid, "request to listener %q", listener)
 	}
 	if q.bodyBytes > 0 {
 		httpRequest.Body = io.NopCloser(newBody(ctx, q.id, q.bodyBytes, q.bodyTime))
--- a/test/target/handler.go
+++ b/test/target/handler.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"log"
@@ -9,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
 )
 
@@ -175,17 +177,17 @@
 		Bytes: run.Bytes, Digest: run.Digest, Padding: padding,
 	})
 	if err != nil {
-		return err
+		return fault.Wrap(err, fault.Internal, "encode answer")
 	}
 	line = append(line, '\n')
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.FormatInt(int64(len(line))+padding, 10))
 	w.WriteHeader(status)
-	if _, err = w.Write(line); err != nil {
-		return err
+	body := io.MultiReader(bytes.NewReader(line), Padding(run.ID, padding))
+	if _, err = io.Copy(w, body); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "write answer")
 	}
-	_, err = io.Copy(w, Padding(run.ID, padding))
-	return err
+	return nil
 }
 
 func paddingOf(r *http.Request) int64 {
