--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"testing"
 	"time"
@@ -10,11 +11,20 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/proxy"
 )
 
 // BenchmarkAddedLatency sends the same request directly and through outbound
-// and inbound in turn, and reports the percentiles of both in microseconds.
+// and inbound in turn, and reports the percentiles of both in microseconds,
+// with Go's default garbage collection and with the daemon's. Caller, daemons
+// and target share one process.
 func BenchmarkAddedLatency(b *testing.B) {
+	b.Run("gc=100", func(b *testing.B) { addedLatency(b, 100) })
+	b.Run("gc=daemon", func(b *testing.B) { addedLatency(b, proxy.GCPercent) })
+}
+
+func addedLatency(b *testing.B, gcPercent int) {
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	RegisterTestingT(b)
 	m := newMesh(model.Route{Idempotent: true}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -7,6 +7,11 @@
 	"github.com/magnoliamount/magnoliamount/internal/once"
 )
 
+// GCPercent is the value for debug.SetGCPercent that a daemon should use, with
+// a memory limit. With Go's default of 100, a daemon's small heap is collected
+// every few hundred requests, which shows in the 99th percentile of latency.
+const GCPercent = 400
+
 // Clock is the daemon's Lamport clock.
 type Clock interface {
 	// Tick advances the clock and returns its value.
