Wire retry budget, drain notice and garbage collection settings; drop queue_length

The queue length follows from the target's slots, so the key had no effect. The claims of a daemon are limited to 50 a second, since 200 on each daemon of a service would exceed the platform's several hundred writes a second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -28,6 +30,11 @@
 // timelineCapacity is the number of events that a daemon keeps.
 const timelineCapacity = 4096
 
+// memoryLimit makes the collector work harder before the daemon reaches the
+// 128 MB that control may cost, in bytes. Without it, proxy.GCPercent would
+// let the heap of a busy daemon grow to five times what is in use.
+const memoryLimit = 100 << 20
+
 // Daemon is one running daemon.
 type Daemon struct {
 	settings  *settings.Settings
@@ -43,6 +50,8 @@
 	targets   *proxy.Registry
 	claims    *once.Batcher
 	servers   servers
+	// targetRun counts the changes of the target, so that a late one is dropped.
+	targetRun atomic.Uint64
 }
 
 // Run starts a daemon and returns after its planned stop, which the end of
@@ -52,6 +61,8 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(proxy.GCPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	if err := d.start(); err != nil {
 		d.abandon()
 		return err
@@ -94,9 +105,12 @@
 	clock := recorderClock{d.events}
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: d.settings.VM.FailureDomain, Random: newRandom(), Observer: d, Clock: clock, Metrics: metrics,
+		RetryPercent: d.settings.Limits.RetryPercent,
 	})
 	d.outbound.SetReady(fault.New(fault.NotReady, "the daemon has no configuration yet"))
-	d.inbound = proxy.NewInbound(proxy.InboundConfig{Claimer: d.claims, Observer: d, Clock: clock, Metrics: metrics})
+	d.inbound = proxy.NewInbound(proxy.InboundConfig{
+		Claimer: d.claims, Observer: d, Clock: clock, Metrics: metrics, DrainNotice: d.settings.Timeouts.DrainNotice,
+	})
 	d.targets = proxy.NewRegistry(proxy.RegistryConfig{Own: ownAddresses(d.settings), OnChange: d.targetChanged})
 }
 
@@ -168,10 +182,25 @@
 		member.Ready: timeline.TargetAnnounced, member.Draining: timeline.TargetDraining, member.Gone: timeline.TargetGone,
 	}
 	d.record(timeline.Event{Kind: kinds[state], Detail: target.Service + " " + target.Version + " " + target.Address})
-	d.inbound.SetTarget(target)
+	d.setTarget(target, state)
 	d.loop.post(core.TargetChanged{Target: target, State: state})
 }
 
+// setTarget lets the inbound proxy serve the target. A target that drains is
+// left out once the news of it has had time to reach the callers' daemons.
+func (d *Daemon) setTarget(target member.Target, state member.State) {
+	run := d.targetRun.Add(1)
+	if state == member.Ready {
+		d.inbound.SetTarget(target)
+		return
+	}
+	time.AfterFunc(d.settings.Timeouts.DrainNotice, func() {
+		if d.targetRun.Load() == run {
+			d.inbound.SetTarget(member.Target{})
+		}
+	})
+}
+
 // record adds an event to the time line and to the log.
 func (d *Daemon) record(e timeline.Event) {
 	stamped := d.events.Append(e)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -32,6 +32,8 @@
 	Clock Clock
 	// Metrics may be nil; then nothing is counted.
 	Metrics *Metrics
+	// RetryPercent is the retry budget; zero means routing.DefaultRetryPercent.
+	RetryPercent int
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
@@ -45,6 +47,8 @@
 	Clock Clock
 	// Metrics may be nil; then nothing is counted.
 	Metrics *Metrics
+	// DrainNotice is how long Drain still lets new work in; zero means DefaultDrainNotice.
+	DrainNotice time.Duration
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -8,9 +8,9 @@
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 )
 
-// DrainGrace is how long a draining daemon still takes new work, while the
+// DefaultDrainNotice is how long a draining daemon still takes new work, while the
 // news of its drain reaches the callers' daemons.
-const DrainGrace = 2 * time.Second
+const DefaultDrainNotice = 2 * time.Second
 
 // flow counts the requests in flight and stops new ones during a drain.
 type flow struct {
@@ -56,12 +56,12 @@
 	}
 }
 
-// Drain lets new work in for DrainGrace and refuses it afterwards with "not
+// Drain lets new work in for the drain notice and refuses it afterwards with "not
 // run". It returns when no request is in flight, or with fault.Timeout when
 // ctx ends first.
 func (n *Inbound) Drain(ctx context.Context) error {
 	select {
-	case <-time.After(DrainGrace):
+	case <-time.After(n.config.DrainNotice):
 	case <-ctx.Done():
 	}
 	n.flow.close()
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -36,6 +36,9 @@
 func NewInbound(config InboundConfig) *Inbound {
 	config.Now = nowOr(config.Now)
 	config.Clock = clockOr(config.Clock)
+	if config.DrainNotice == 0 {
+		config.DrainNotice = DefaultDrainNotice
+	}
 	return &Inbound{
 		config:  config,
 		strikes: routing.NewStrikes(),
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -44,6 +44,9 @@
 func NewOutbound(config OutboundConfig) *Outbound {
 	config.Now = nowOr(config.Now)
 	config.Clock = clockOr(config.Clock)
+	if config.RetryPercent == 0 {
+		config.RetryPercent = routing.DefaultRetryPercent
+	}
 	if config.Random == nil {
 		config.Random = rand.New(rand.NewPCG(0, 0))
 	}
@@ -76,7 +79,7 @@
 		}
 	}
 	for name := range config.State.Services {
-		next.budgets[name] = &routing.Budget{}
+		next.budgets[name] = &routing.Budget{Percent: o.config.RetryPercent}
 		if old != nil && old.budgets[name] != nil {
 			next.budgets[name] = old.budgets[name]
 		}
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// retryPart is the part of a service's requests that may be retries.
-	retryPart = 0.10
+	// DefaultRetryPercent is the part of a service's requests that may be
+	// retries, unless the daemon is told another one.
+	DefaultRetryPercent = 10
 	// retryFloor is how many retries per window are always allowed.
 	retryFloor = 3
 	// retryWindow is the interval over which requests and retries are counted.
@@ -17,6 +18,8 @@
 // Budget bounds the retries of one daemon to one service. Its methods may be
 // called at the same time.
 type Budget struct {
+	// Percent of the service's requests that may be retries.
+	Percent  int
 	mu       sync.Mutex
 	start    time.Time
 	requests float64
@@ -37,7 +40,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.roll(now)
-	allowed := max(retryFloor, retryPart*max(b.requests, b.previous))
+	allowed := max(retryFloor, float64(b.Percent)/100*max(b.requests, b.previous))
 	if b.retries+1 > allowed {
 		return false
 	}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -24,7 +24,6 @@
 // Bounds of numbers.
 const (
 	minTokenBytes  = 8
-	maxQueueLength = 100_000
 	maxClaims      = 100_000
 	minBulkBytes   = kibibyte
 	maxBulkBytes   = 1 << 30
@@ -71,7 +70,6 @@
 	file("admin", "tls_certificate", func(s *Settings) *string { return &s.Admin.TLSCertificate }),
 	file("admin", "tls_key", func(s *Settings) *string { return &s.Admin.TLSKey }),
 
-	number("limits", "queue_length", 0, maxQueueLength, func(s *Settings) *int { return &s.Limits.QueueLength }),
 	number("limits", "claims_per_second", 1, maxClaims, func(s *Settings) *int { return &s.Limits.ClaimsPerSecond }),
 	size("limits", "bulk_bytes_per_second", minBulkBytes, maxBulkBytes, func(s *Settings) *int64 { return &s.Limits.BulkBytesPerSecond }),
 	size("limits", "max_header_bytes", minHeaderBytes, maxHeaderBytes, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes }),
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -89,7 +89,7 @@
 		Entry("a negative duration", "# timeout = 2s", "timeout = -2s", "[platform] timeout: -2s is not between"),
 		Entry("a size without a unit", "# max_header_bytes = 64KiB", "max_header_bytes = 65536", `[limits] max_header_bytes: "65536" is not a size with a unit`),
 		Entry("a size beyond its bound", "# max_header_bytes = 64KiB", "max_header_bytes = 2MiB", "[limits] max_header_bytes: 2MiB is not between 4KiB and 1MiB"),
-		Entry("a number with a fraction", "# queue_length = 32", "queue_length = 1.5", `[limits] queue_length: "1.5" is not a whole number`),
+		Entry("a number with a fraction", "# claims_per_second = 50", "claims_per_second = 1.5", `[limits] claims_per_second: "1.5" is not a whole number`),
 		Entry("an address without a port", "caller = 127.0.0.1:8600", "caller = 127.0.0.1", "[listen] caller: \"127.0.0.1\" is not IP:port"),
 		Entry("a host name as address", "caller = 127.0.0.1:8600", "caller = localhost:8600", "[listen] caller: \"localhost:8600\" is not IP:port"),
 		Entry("port 0, which no other daemon can dial", "caller = 127.0.0.1:8600", "caller = 127.0.0.1:0", "with a port of 1 to 65535"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,9 +79,8 @@
 
 // Limits bounds what the daemon takes on.
 type Limits struct {
-	// QueueLength is how many requests may wait for the target.
-	QueueLength int
-	// ClaimsPerSecond bounds the claims that the daemon writes.
+	// ClaimsPerSecond bounds the claims that the daemon writes. The sum over
+	// all daemons beside targets of once-only routes must fit the platform.
 	ClaimsPerSecond int
 	// BulkBytesPerSecond bounds snapshots and endpoint lists on one link.
 	BulkBytesPerSecond int64
@@ -124,8 +123,7 @@
 	return &Settings{
 		Platform: Platform{Timeout: 2 * time.Second},
 		Limits: Limits{
-			QueueLength:        32,
-			ClaimsPerSecond:    200,
+			ClaimsPerSecond:    50,
 			BulkBytesPerSecond: 64 * kibibyte,
 			MaxHeaderBytes:     64 * kibibyte,
 			RetryPercent:       10,
