--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -79,7 +79,7 @@
 		}
 	}
 	for name := range config.State.Services {
-		next.budgets[name] = &routing.Budget{Percent: o.config.RetryPercent}
+		next.budgets[name] = routing.NewBudget(o.config.RetryPercent)
 		if old != nil && old.budgets[name] != nil {
 			next.budgets[name] = old.budgets[name]
 		}
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -18,8 +18,7 @@
 // Budget bounds the retries of one daemon to one service. Its methods may be
 // called at the same time.
 type Budget struct {
-	// Percent of the service's requests that may be retries.
-	Percent  int
+	percent  int
 	mu       sync.Mutex
 	start    time.Time
 	requests float64
@@ -27,6 +26,9 @@
 	retries  float64
 }
 
+// NewBudget returns a budget of the percentage of a service's requests.
+func NewBudget(percent int) *Budget { return &Budget{percent: percent} }
+
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
@@ -40,7 +42,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.roll(now)
-	allowed := max(retryFloor, float64(b.Percent)/100*max(b.requests, b.previous))
+	allowed := max(retryFloor, float64(b.percent)/100*max(b.requests, b.previous))
 	if b.retries+1 > allowed {
 		return false
 	}
