--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,8 @@
 	targets   *proxy.Registry
 	claims    *once.Batcher
 	servers   servers
+	// requests limits the events about single requests.
+	requests eventLimit
 	// targetRun counts the changes of the target, so that a late one is dropped.
 	targetRun atomic.Uint64
 }
@@ -173,10 +175,17 @@
 
 // Strike takes the news that a request crashed the target.
 func (d *Daemon) Strike(fingerprint uint64) {
-	d.record(timeline.Event{Kind: timeline.TargetCrashed})
 	d.loop.post(core.StrikeSeen{Fingerprint: fingerprint})
 }
 
+// Record takes the news of a request from the proxies. Refusals come in
+// bursts, so only some of them go to the time line.
+func (d *Daemon) Record(e timeline.Event) {
+	if d.requests.allow(time.Now()) {
+		d.record(e)
+	}
+}
+
 func (d *Daemon) targetChanged(target member.Target, state member.State) {
 	kinds := map[member.State]timeline.Kind{
 		member.Ready: timeline.TargetAnnounced, member.Draining: timeline.TargetDraining, member.Gone: timeline.TargetGone,
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
 )
 
 // ErrorBody is the JSON body of every answer that a daemon makes itself.
@@ -79,3 +80,19 @@
 	// A caller that has gone away does not need the body.
 	_, _ = w.Write(encoded)
 }
+
+// recordRefusal adds refusals that an operator looks for to the time line.
+func recordRefusal(o Observer, refused *refusal, id string) {
+	event := timeline.Event{Request: id, Detail: refused.err.Error()}
+	switch {
+	case refused.crash != 0:
+		event.Kind = timeline.TargetCrashed
+	case refused.status == http.StatusUnprocessableEntity && refused.noRetry:
+		event.Kind = timeline.RequestQuarantined
+	case refused.outcome == NotRun && fault.Is(refused.err, fault.Overloaded):
+		event.Kind = timeline.RequestShed
+	default:
+		return
+	}
+	o.Record(event)
+}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -202,6 +202,7 @@
 func (s *service) refuse(refused *refusal) {
 	s.setLoad()
 	s.finished(refused.outcome)
+	recordRefusal(s.n.config.Observer, refused, s.in.id)
 	s.early.beforeRefusal(s.source, refused.status)
 	refused.write(s.w, s.in.id)
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -233,6 +233,7 @@
 		setOne(x.w.Header(), RequestHeader, x.in.id)
 	}
 	x.finished(refused.outcome)
+	recordRefusal(x.o.config.Observer, refused, x.in.id)
 	x.early.beforeRefusal(x.source, refused.status)
 	refused.write(x.w, x.in.id)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,7 +2,10 @@
 // beside targets, and inbound from daemons to the target on the same VM.
 package proxy
 
-import "github.com/magnoliamount/magnoliamount/internal/move"
+import (
+	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
+)
 
 // Headers that daemons add to requests and responses.
 const (
@@ -47,4 +50,7 @@
 	Observe(move.Observation)
 	// Strike reports that the target died while it ran a request.
 	Strike(fingerprint uint64)
+	// Record reports what became of a request that was not forwarded as usual:
+	// it was shed or quarantined, or it crashed the target.
+	Record(timeline.Event)
 }
--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -172,6 +172,8 @@
 	o.observations = append(o.observations, observation)
 }
 
+func (o *recorder) Record(timeline.Event) {}
+
 func (o *recorder) Strike(fingerprint uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
