--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/once"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
 )
 
 func TestProxy(t *testing.T) {
