--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
@@ -22,10 +23,29 @@
 		State:     n.state,
 		Steps:     maps.Clone(n.steps),
 		Braked:    braked,
-		Endpoints: n.members.Live(),
+		Endpoints: n.routable(),
 	}})
 }
 
+// routable returns the live endpoints. The lost ones of a version that has no
+// live one are added as ready: only the link to their relay is known to be
+// down, and without them every request would be refused.
+func (n *Node) routable() []member.Endpoint {
+	type group struct{ service, version string }
+	endpoints := n.members.Live()
+	served := map[group]bool{}
+	for i := range endpoints {
+		served[group{endpoints[i].Target.Service, endpoints[i].Target.Version}] = true
+	}
+	for _, e := range n.members.Lost() {
+		if e.Target.Service != "" && !served[group{e.Target.Service, e.Target.Version}] {
+			e.State = member.Ready
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
 // Snapshot is what the administration API shows of a node.
 type Snapshot struct {
 	State      *model.State
