Prove at 5% sooner, learn how noisy the old version is, limit bursts by it

Causes of late stops: little evidence at 1% and 2% of a small service, a wide margin once the old version was relieved of load, a weak prior. Causes of good moves taken back: single daemons' brakes know too little history, targets that arrive outside of the focus are cold later, load above the old version's peak.

--- a/internal/move/brake.go
+++ b/internal/move/brake.go
@@ -12,10 +12,10 @@
 }
 
 // NewBrake returns a brake that is not set. A nil judge means a
-// SequentialJudge with BrakeFalseAlarmBound.
+// cautious SequentialJudge with BrakeFalseAlarmBound.
 func NewBrake(judge Judge) *Brake {
 	if judge == nil {
-		judge = NewSequentialJudge(BrakeFalseAlarmBound)
+		judge = NewCautiousJudge(BrakeFalseAlarmBound)
 	}
 	return &Brake{judge: judge}
 }
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -9,6 +9,10 @@
 type Stage struct {
 	// Permille is the progress, of 0 to FullProgress.
 	Permille uint32
+	// Focus is how many targets of each new version take its share; zero means all.
+	Focus uint32
+	// Targets counts the ready targets of each service.
+	Targets map[string]TargetCount
 	// Cold is the fraction of the new versions' traffic that cold targets
 	// may be serving, of 0 to 1. Slow requests up to this fraction are expected.
 	Cold float64
--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -8,17 +8,24 @@
 const (
 	// slowQuantile is the quantile of the old version that counts as slow.
 	slowQuantile = 0.95
+	// farShift is how many buckets above slow counts as very slow: 3 times slower.
+	farShift = 2
 	// stallShift is how many buckets above slow counts as stalled: 8.7 times slower.
 	stallShift = 4
 	// priorRequests is the weight of the old version's history against its
 	// requests of the same interval.
-	priorRequests = 100
+	priorRequests = 1000
 	// historyDecay is the weight that history keeps for each interval.
-	historyDecay = 0.95
+	historyDecay = 0.98
 	// maxNullRate keeps the null hypothesis below certainty.
 	maxNullRate = 0.9
+	// pairedRequests is the weight of that estimate against the old version's
+	// requests of the interval alone.
+	pairedRequests = 20
+	// unknownRate is the null hypothesis without any evidence of the old version.
+	unknownRate = 0.05
 	// blockRequests is how many old requests make a block of the history.
-	blockRequests = 100
+	blockRequests = 400
 	// blocksKept bounds the blocks of the history.
 	blocksKept = 600
 	// pairedRank and relievedRank are which of the old version's worst blocks
@@ -29,9 +36,16 @@
 	// noisyRatio is how much worse than its mean the worst block of an old
 	// version is that counts as noisy.
 	noisyRatio = 2.0
-	// noisyCap replaces intervalCap for an old version that is noisy, so that
-	// a burst of two seconds on the new version does not decide.
-	noisyCap = 2.0
+	// calmBlocks is how many blocks tell whether the old version is noisy.
+	calmBlocks = 20
+	// intervalCap bounds the evidence of one interval, in nats, so that one
+	// burst of correlated failures cannot decide alone.
+	intervalCap = 6.0
+	// unknownCap replaces it for slowness while it is not known how noisy the
+	// old version is, and noisyCap for a noisy old version: bursts of about
+	// two seconds must not decide.
+	unknownCap = 3.0
+	noisyCap   = 1.0
 )
 
 // tolerance is how much worse than the old version is no regression: ratio
@@ -44,11 +58,14 @@
 // version's rate is within the tolerance.
 type measure struct {
 	name string
-	// paired applies while both versions carry about the same load for each
-	// target, relieved when the old version carries much less, so that its
-	// history stands for it.
-	paired, relieved tolerance
-	effects          []float64
+	// calm is the usual tolerance. wide applies when the old version carries
+	// much less load than the new one, so that its history stands for it, and
+	// was noisy or had less load.
+	calm, wide tolerance
+	effects    []float64
+	// earlyCap bounds the evidence of one interval until it is known how
+	// noisy the old version is.
+	earlyCap float64
 	// logs holds the log of each alternative's mixture over onsets.
 	logs  []float64
 	doubt float64
@@ -64,8 +81,8 @@
 	oldHits, oldTotal, newHits, newTotal float64
 }
 
-func newMeasure(name string, paired, relieved tolerance, effects ...float64) *measure {
-	m := &measure{name: name, paired: paired, relieved: relieved, effects: effects}
+func newMeasure(name string, earlyCap float64, calm, wide tolerance, effects ...float64) *measure {
+	m := &measure{name: name, earlyCap: earlyCap, calm: calm, wide: wide, effects: effects}
 	m.logs = slices.Repeat([]float64{math.Inf(-1)}, len(effects))
 	return m
 }
@@ -78,14 +95,21 @@
 	// relieved is true when the old version carries much less load than at
 	// the start of the move, so that it is no fair comparison by itself.
 	relieved bool
+	circumstances
+}
+
+// circumstances of a service's comparison.
+type circumstances struct {
+	// noisy is true when the old version of the service was noisy before.
+	noisy bool
+	// stretched is true when the new version's targets carry more load than
+	// the old version's ever did.
+	stretched bool
 }
 
 func (m *measure) observe(in interval, weight float64) {
 	null := m.nullRate(in)
-	limit := intervalCap
-	if in.relieved && m.noisy() {
-		limit = noisyCap
-	}
+	limit := m.cap(in)
 	for i, effect := range m.effects {
 		m.logs[i] = logAdd(m.logs[i], math.Log(weight/float64(len(m.effects))))
 		m.logs[i] += math.Min(logRatio(in, null, effect), limit)
@@ -104,11 +128,19 @@
 	}
 	hits := in.oldHits + scale*m.priorHits
 	total := in.oldTotal + scale*m.priorTotal
+	if total < pairedRequests {
+		return math.Min(unknownRate+in.allowed, maxNullRate)
+	}
 	rate := (hits + 0.1) / (total + 1)
 	rate += math.Sqrt(rate * (1 - rate) / (total + 1))
-	allowed, worst := m.paired, m.worst[pairedRank]
+	// The history must not hide that the old version is bad in this interval.
+	rate = math.Max(rate, (in.oldHits+pairedRequests*rate)/(in.oldTotal+pairedRequests))
+	allowed, worst := m.calm, m.worst[pairedRank]
 	if in.relieved {
-		allowed, worst = m.relieved, m.worst[relievedRank]
+		worst = m.worst[relievedRank]
+	}
+	if in.relieved && (in.noisy || in.stretched) {
+		allowed = m.wide
 	}
 	rate = math.Max(rate, worst)
 	return math.Min(allowed.ratio*rate+allowed.margin+in.allowed, maxNullRate)
@@ -147,9 +179,22 @@
 	}
 }
 
-// noisy reports whether the old version was much worse at times than on average.
-func (m *measure) noisy() bool {
-	return m.worst[relievedRank] > noisyRatio*m.oldRate()+m.paired.margin
+// cap bounds the evidence of one interval.
+func (m *measure) cap(in interval) float64 {
+	switch {
+	case in.noisy && in.relieved:
+		return noisyCap
+	case in.noisy:
+		return unknownCap
+	case len(m.blocks) < calmBlocks:
+		return m.earlyCap
+	}
+	return intervalCap
+}
+
+// uneven reports whether the old version was much worse at times than on average.
+func (m *measure) uneven() bool {
+	return m.worst[relievedRank] > noisyRatio*m.oldRate()+m.calm.margin
 }
 
 func (m *measure) evidence() float64 {
--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -144,7 +144,7 @@
 	if p.ended != nil {
 		return *p.ended
 	}
-	p.targets.Update(now, c.Targets, p.step.Permille > 0)
+	p.targets.Update(now, c.Targets, p.step)
 	p.flush(now)
 	decision := p.decide(now, c)
 	switch decision.Kind {
@@ -165,7 +165,7 @@
 	if len(p.pending) == 0 || now.Sub(p.flushed) < SampleInterval/2 {
 		return
 	}
-	p.judge.Observe(now, p.targets.Stage(now, p.step.Permille), MergeSamples(p.pending))
+	p.judge.Observe(now, p.targets.Stage(now, p.step), MergeSamples(p.pending))
 	p.pending = p.pending[:0]
 	p.flushed = now
 }
--- a/internal/move/route.go
+++ b/internal/move/route.go
@@ -1,9 +1,13 @@
 package move
 
+import "slices"
+
 const (
 	// relievedPermille is the progress from which the old version carries
 	// much less load for each target than it did at the start.
 	relievedPermille = 250
+	// farCold is the fraction of a cold target's requests that may be very slow.
+	farCold = 0.25
 	// profileDecay is the weight that the old version's latency profile keeps
 	// for each interval.
 	profileDecay = 0.998
@@ -16,17 +20,19 @@
 	profile  [LatencyBuckets]float64
 	errors   *measure
 	slow     *measure
+	far      *measure
 	stalled  *measure
 	measures []*measure
 }
 
 func newRouteTest() *routeTest {
 	t := &routeTest{
-		errors:  newMeasure("error rate", tolerance{1.3, 0.001}, tolerance{2.5, 0.006}, 0.01, 0.03, 0.1, 0.3, 0.8),
-		slow:    newMeasure("slow requests", tolerance{1.5, 0.03}, tolerance{2.5, 0.06}, 0.07, 0.2, 0.5, 0.9),
-		stalled: newMeasure("stalled requests", tolerance{1.5, 0.02}, tolerance{2.5, 0.03}, 0.05, 0.3, 0.8),
+		errors:  newMeasure("error rate", intervalCap, tolerance{1.3, 0.001}, tolerance{2.5, 0.006}, 0.01, 0.03, 0.1, 0.3, 0.8),
+		slow:    newMeasure("slow requests", unknownCap, tolerance{1.5, 0.03}, tolerance{2.5, 0.06}, 0.07, 0.2, 0.5, 0.9),
+		far:     newMeasure("very slow requests", intervalCap, tolerance{1.5, 0.015}, tolerance{2.5, 0.03}, 0.04, 0.2, 0.6),
+		stalled: newMeasure("stalled requests", intervalCap, tolerance{1.5, 0.02}, tolerance{2.5, 0.03}, 0.05, 0.3, 0.8),
 	}
-	t.measures = []*measure{t.errors, t.slow, t.stalled}
+	t.measures = []*measure{t.errors, t.slow, t.far, t.stalled}
 	return t
 }
 
@@ -39,7 +45,7 @@
 }
 
 // flush turns the counts of the interval into evidence.
-func (t *routeTest) flush(stage Stage, weight float64) {
+func (t *routeTest) flush(stage Stage, c circumstances, weight float64) {
 	if stage.Short || t.old.Requests == 0 && t.new.Requests == 0 {
 		t.old, t.new = Sample{}, Sample{}
 		return
@@ -47,9 +53,10 @@
 	relieved := stage.Permille >= relievedPermille
 	t.learn(relieved)
 	base := interval{
-		oldTotal: float64(t.old.Requests),
-		newTotal: float64(t.new.Requests),
-		relieved: relieved,
+		oldTotal:      float64(t.old.Requests),
+		newTotal:      float64(t.new.Requests),
+		relieved:      relieved,
+		circumstances: c,
 	}
 	errors := base
 	errors.oldHits = float64(t.old.Errors)
@@ -57,11 +64,17 @@
 	t.errors.observe(errors, weight)
 	if bucket, ok := t.slowBucket(); ok {
 		t.slow.observe(t.slower(base, bucket, stage.Cold), weight)
+		t.far.observe(t.slower(base, bucket+farShift, farCold*stage.Cold), weight)
 		t.stalled.observe(t.slower(base, bucket+stallShift, 0), weight)
 	}
 	t.old, t.new = Sample{}, Sample{}
 }
 
+// uneven reports whether the old version was noisy by any measure.
+func (t *routeTest) uneven() bool {
+	return slices.ContainsFunc(t.measures, (*measure).uneven)
+}
+
 func (t *routeTest) closeBlock() {
 	for _, m := range t.measures {
 		m.closeBlock()
--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -20,7 +20,7 @@
 	maxDwell = 10 * time.Second
 	// minWarmUp and maxWarmUp bound the time during which cold targets may be slow.
 	minWarmUp = 2 * time.Second
-	maxWarmUp = 12 * time.Second
+	maxWarmUp = 10 * time.Second
 	// minMargin and maxMargin bound the time between done and the finish time.
 	minMargin = time.Second
 	maxMargin = 10 * time.Second
@@ -53,8 +53,8 @@
 
 var (
 	steps       = []uint32{warmUpPermille, 20, provingPermille, 100, 250, 500, 750, FullProgress}
-	onTimePace  = pace{full: 0.6, enter: []float64{0, 0.2, 0.3, 0.55, 0.7, 0.8, 0.9, 1}, doubt: provedDoubt, relax: 0.33, even: 0.5, force: 0.65}
-	carefulPace = pace{full: 0.8, enter: []float64{0, 0.15, 0.25, 0.65, 0.75, 0.85, 0.93, 1}, doubt: 1.5 * provedDoubt, relax: 0.52, even: 0.65, force: 0.78}
+	onTimePace  = pace{full: 0.6, enter: []float64{0, 0.14, 0.18, 0.55, 0.7, 0.8, 0.9, 1}, doubt: provedDoubt, relax: 0.33, even: 0.5, force: 0.65}
+	carefulPace = pace{full: 0.8, enter: []float64{0, 0.07, 0.09, 0.65, 0.75, 0.85, 0.93, 1}, doubt: 1.5 * provedDoubt, relax: 0.52, even: 0.65, force: 0.78}
 )
 
 // schedule gives the times of a move's steps.
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -20,12 +20,9 @@
 	firstStartWeight = 0.5
 	// onsets is over how many later intervals the rest of the weight is spread
 	// before it decays.
-	onsets = 2000
+	onsets = 400
 	// blockTime is the length of a block of the old version's history.
 	blockTime = time.Second
-	// intervalCap bounds the evidence of one interval, in nats, so that one
-	// burst of correlated failures cannot decide alone.
-	intervalCap = 6.0
 )
 
 // SequentialJudge compares old and new versions over the same interval, per
@@ -33,10 +30,16 @@
 // sizes of regression and every interval as its onset, so that the judge may
 // look after each interval and still keep its false alarm bound.
 type SequentialJudge struct {
-	limit   float64
-	verdict Verdict
-	routes  map[routeKey]*routeTest
-	seen    int
+	limit float64
+	// cautious is for small samples, which cannot tell how noisy the old
+	// version is.
+	cautious bool
+	verdict  Verdict
+	routes   map[routeKey]*routeTest
+	loads    map[string]*loadWatch
+	seen     int
+	// seenAt is when the last interval ended.
+	seenAt time.Time
 	// blockAt is when the current block of the history began.
 	blockAt time.Time
 }
@@ -49,12 +52,21 @@
 // NewSequentialJudge returns a judge whose probability of a false alarm over
 // the whole move is at most bound.
 func NewSequentialJudge(bound float64) *SequentialJudge {
-	return &SequentialJudge{limit: -math.Log(bound), routes: map[routeKey]*routeTest{}}
+	return &SequentialJudge{limit: -math.Log(bound), routes: map[routeKey]*routeTest{}, loads: map[string]*loadWatch{}}
+}
+
+// NewCautiousJudge returns a judge for the sample of a single daemon. It
+// takes the old version for noisy where the comparison rests on its history.
+func NewCautiousJudge(bound float64) *SequentialJudge {
+	j := NewSequentialJudge(bound)
+	j.cautious = true
+	return j
 }
 
 // Observe implements Judge.
 func (j *SequentialJudge) Observe(now time.Time, stage Stage, samples []Sample) {
 	j.seen++
+	j.observeLoad(now, stage, samples)
 	for i := range samples {
 		key := routeKey{samples[i].Key.Service, samples[i].Key.Route}
 		if j.routes[key] == nil {
@@ -67,8 +79,10 @@
 	if closing {
 		j.blockAt = now
 	}
+	noisy := j.noisyServices()
 	for key, test := range j.routes {
-		test.flush(stage, weight)
+		c := circumstances{noisy: noisy[key.service] || j.cautious, stretched: j.loads[key.service].stretched()}
+		test.flush(stage, c, weight)
 		if closing {
 			test.closeBlock()
 		}
@@ -76,6 +90,37 @@
 	}
 }
 
+func (j *SequentialJudge) observeLoad(now time.Time, stage Stage, samples []Sample) {
+	passed := now.Sub(j.seenAt)
+	if j.seenAt.IsZero() {
+		passed = 0
+	}
+	j.seenAt = now
+	requests := map[string]float64{}
+	for i := range samples {
+		service := samples[i].Key.Service
+		if j.loads[service] == nil {
+			j.loads[service] = &loadWatch{}
+		}
+		requests[service] += float64(samples[i].Requests)
+	}
+	for service, load := range j.loads {
+		load.observe(passed, stage, stage.Targets[service], requests[service])
+	}
+}
+
+// noisyServices lists the services with a route whose old version was noisy.
+// Noise on one route shows on the others too late when they have less traffic.
+func (j *SequentialJudge) noisyServices() map[string]bool {
+	noisy := map[string]bool{}
+	for key, test := range j.routes {
+		if test.uneven() {
+			noisy[key.service] = true
+		}
+	}
+	return noisy
+}
+
 func onsetWeight(interval int) float64 {
 	if interval == 1 {
 		return firstStartWeight
--- a/internal/move/targets.go
+++ b/internal/move/targets.go
@@ -30,7 +30,9 @@
 	// they took traffic before a change of controller.
 	warm     bool
 	traffic  bool
+	focus    uint32
 	services map[string]*watchedService
+	targets  map[string]TargetCount
 	updated  time.Time
 	// shortSpent is the time of shortages so far, shortUntil when the effects
 	// of the last one end.
@@ -42,7 +44,10 @@
 	ready, most int
 	// arrivals holds since when the targets that are not warm have had traffic.
 	arrivals []time.Time
-	lostAt   time.Time
+	// waiting counts targets that arrived while the traffic was focused, so
+	// that they may have none yet.
+	waiting int
+	lostAt  time.Time
 }
 
 // NewTargetWatch returns a watch of the ticket. With warm, the targets that
@@ -57,9 +62,10 @@
 	}
 }
 
-// Update takes the ready targets of each service, and whether the new
-// versions have traffic.
-func (w *TargetWatch) Update(now time.Time, counts map[string]TargetCount, traffic bool) {
+// Update takes the ready targets of each service, and the
+// step in force. The watch keeps the map.
+func (w *TargetWatch) Update(now time.Time, counts map[string]TargetCount, step Step) {
+	w.targets = counts
 	for _, m := range w.open.Ticket.Moves {
 		s, ok := w.services[m.Service]
 		if !ok {
@@ -69,20 +75,21 @@
 			}
 			w.services[m.Service] = s
 		}
-		s.update(now, counts[m.Service].New, w.warmUp)
+		s.update(now, counts[m.Service].New, step.Focus)
+		s.expire(now, w.warmUp)
 	}
-	if traffic && !w.traffic {
+	if step.Permille > 0 && !w.traffic {
 		w.startTraffic(now)
 	}
+	w.refocus(now, step.Focus)
 	w.updateShort(now)
 }
 
-func (s *watchedService) update(now time.Time, ready int, warmUp time.Duration) {
-	for range ready - s.ready {
-		s.arrivals = append(s.arrivals, now)
-	}
-	for len(s.arrivals) > 0 && now.Sub(s.arrivals[0]) >= warmUp {
-		s.arrivals = s.arrivals[1:]
+func (s *watchedService) update(now time.Time, ready int, focus uint32) {
+	arrived := max(0, ready-s.ready)
+	s.arrivals = append(s.arrivals, slices.Repeat([]time.Time{now}, arrived)...)
+	if focus > 0 {
+		s.waiting += arrived
 	}
 	if s.ready > 0 && ready == 0 {
 		s.lostAt = now
@@ -91,6 +98,26 @@
 	s.most = max(s.most, ready)
 }
 
+func (s *watchedService) expire(now time.Time, warmUp time.Duration) {
+	for len(s.arrivals) > 0 && now.Sub(s.arrivals[0]) >= warmUp {
+		s.arrivals = s.arrivals[1:]
+	}
+}
+
+// refocus starts the warm-up of waiting targets when more targets get traffic.
+func (w *TargetWatch) refocus(now time.Time, focus uint32) {
+	if focus == w.focus {
+		return
+	}
+	w.focus = focus
+	for _, s := range w.services {
+		s.arrivals = append(s.arrivals, slices.Repeat([]time.Time{now}, s.waiting)...)
+		if focus == 0 {
+			s.waiting = 0
+		}
+	}
+}
+
 // startTraffic restarts the warm-up. Until now the targets were ready but
 // could not warm up.
 func (w *TargetWatch) startTraffic(now time.Time) {
@@ -116,9 +143,15 @@
 	}
 }
 
-// Stage returns the stage at the progress.
-func (w *TargetWatch) Stage(now time.Time, permille uint32) Stage {
-	return Stage{Permille: permille, Cold: w.cold(), Short: now.Before(w.shortUntil)}
+// Stage returns the stage at the step.
+func (w *TargetWatch) Stage(now time.Time, step Step) Stage {
+	return Stage{
+		Permille: step.Permille,
+		Focus:    step.Focus,
+		Targets:  w.targets,
+		Cold:     w.cold(),
+		Short:    now.Before(w.shortUntil),
+	}
 }
 
 // ready reports whether every service has a ready target of the new version.
--- a/internal/replay/daemons.go
+++ b/internal/replay/daemons.go
@@ -78,8 +78,8 @@
 // drain ends an interval and reports whether the daemon set its brake in it.
 func (d *daemon) drain(now time.Time, counts map[string]move.TargetCount) (samples []move.Sample, reason string, set bool) {
 	samples = d.collector.Drain()
-	d.targets.Update(now, counts, d.step.Permille > 0)
-	d.brake.Observe(now, d.targets.Stage(now, d.step.Permille), samples)
+	d.targets.Update(now, counts, d.step)
+	d.brake.Observe(now, d.targets.Stage(now, d.step), samples)
 	reason, set = d.brake.Set()
 	set = set && !d.braked
 	if set {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -29,8 +29,14 @@
 // Run replays the trace under the sequential and the baseline judge.
 func Run(t *trace.Trace, o Options) Result {
 	o = o.withDefaults()
-	sequential := func(bound float64) move.Judge { return move.NewSequentialJudge(bound) }
-	baseline := func(float64) move.Judge { return move.NewBaselineJudge() }
+	sequential := judges{
+		controller: func() move.Judge { return move.NewSequentialJudge(move.FalseAlarmBound) },
+		daemon:     func() move.Judge { return move.NewCautiousJudge(move.BrakeFalseAlarmBound) },
+	}
+	baseline := judges{
+		controller: func() move.Judge { return move.NewBaselineJudge() },
+		daemon:     func() move.Judge { return move.NewBaselineJudge() },
+	}
 	return Result{
 		Trace:      t.Header.Name,
 		User:       t.Header.User,
@@ -42,14 +48,20 @@
 	}
 }
 
+// judges makes the judges of one replay.
+type judges struct {
+	controller func() move.Judge
+	daemon     func() move.Judge
+}
+
 // run is one replay of a trace under one judge.
 type run struct {
-	world    *world
-	options  Options
-	rng      *rand.Rand
-	newJudge func(bound float64) move.Judge
-	ticket   *model.OpenTicket
-	planner  *move.Planner
+	world   *world
+	options Options
+	rng     *rand.Rand
+	judges  judges
+	ticket  *model.OpenTicket
+	planner *move.Planner
 	// takeovers counts the changes of controller that the planner has seen.
 	takeovers int
 	lastStep  move.Step
@@ -72,20 +84,20 @@
 	reason string
 }
 
-func newRun(t *trace.Trace, o Options, judge func(bound float64) move.Judge) *run {
+func newRun(t *trace.Trace, o Options, j judges) *run {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(t.Header.Name))
 	r := &run{
 		world:    newWorld(t),
 		options:  o,
 		rng:      rand.New(rand.NewPCG(o.Seed, hash.Sum64())),
-		newJudge: judge,
+		judges:   j,
 		ticket:   openTicket(&t.Header),
 		observer: newObserver(&t.Header),
 		out:      Outcome{End: Open, EndMs: -1, FullMs: -1, RecordedMs: -1, ShownMs: -1, EvidentMs: -1, StoppedMs: -1, ProvedMs: -1},
 	}
 	for range o.Daemons {
-		r.daemons = append(r.daemons, newDaemon(judge(move.BrakeFalseAlarmBound), r.ticket))
+		r.daemons = append(r.daemons, newDaemon(j.daemon(), r.ticket))
 	}
 	return r
 }
@@ -173,7 +185,7 @@
 			Ticket: r.ticket,
 			Epoch:  uint64(r.takeovers) + 1,
 			Start:  r.lastStep,
-			Judge:  r.newJudge(move.FalseAlarmBound),
+			Judge:  r.judges.controller(),
 		}, clock(now))
 	}
 	r.deliver(now)
