Take proving steps early on small services and never force a doubtful version

Causes: a service with few requests gave too little evidence at 1% and 2%; the schedule forced a version with strong doubt on one quiet route beyond 5%; a single daemon's brake was slowed by the cap for noisy services at 5%.

--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -27,9 +27,9 @@
 	Bad bool
 	// Reason names the service, the route and the measure of a bad verdict.
 	Reason string
-	// Doubt is the strongest evidence on any route that a small regression
-	// is present, as a natural logarithm of a likelihood ratio. Negative
-	// values speak for the new versions, zero means no evidence.
+	// Doubt is the strongest evidence on any route for a regression of any
+	// size, as a natural logarithm of a likelihood ratio. Negative values
+	// speak for the new versions, zero means no evidence.
 	Doubt float64
 }
 
--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -67,8 +67,10 @@
 	// noisy the old version is.
 	earlyCap float64
 	// logs holds the log of each alternative's mixture over onsets.
-	logs  []float64
-	doubt float64
+	logs []float64
+	// doubts holds the log likelihood ratio of each alternative from the
+	// start, bounded below.
+	doubts []float64
 	// prior holds decayed counts of the old version.
 	priorHits, priorTotal float64
 	// blocks holds the old version's rates over blocks of about a second,
@@ -84,6 +86,7 @@
 func newMeasure(name string, earlyCap float64, calm, wide tolerance, effects ...float64) *measure {
 	m := &measure{name: name, earlyCap: earlyCap, calm: calm, wide: wide, effects: effects}
 	m.logs = slices.Repeat([]float64{math.Inf(-1)}, len(effects))
+	m.doubts = make([]float64, len(effects))
 	return m
 }
 
@@ -112,10 +115,10 @@
 	limit := m.cap(in)
 	for i, effect := range m.effects {
 		m.logs[i] = logAdd(m.logs[i], math.Log(weight/float64(len(m.effects))))
-		m.logs[i] += math.Min(logRatio(in, null, effect), limit)
+		gain := math.Min(logRatio(in, null, effect), limit)
+		m.logs[i] += gain
+		m.doubts[i] = math.Max(m.doubts[i]+gain, 2*provedDoubt)
 	}
-	m.doubt += math.Min(logRatio(in, null, m.effects[0]), limit)
-	m.doubt = math.Max(m.doubt, 2*provedDoubt)
 	m.remember(in)
 }
 
@@ -205,6 +208,8 @@
 	return sum
 }
 
+func (m *measure) doubt() float64 { return slices.Max(m.doubts) }
+
 func (m *measure) newRate() float64 { return m.newHits / math.Max(m.newTotal, 1) }
 
 func (m *measure) oldRate() float64 { return m.oldHits / math.Max(m.oldTotal, 1) }
--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -192,7 +192,7 @@
 // obstacle says why the move may not go on yet, or returns "".
 func (p *Planner) obstacle(now time.Time, c Conditions) string {
 	switch {
-	case now.Before(p.due()):
+	case now.Before(p.due(now)):
 		return "the time of the next step has not come"
 	case !c.EvidenceLive:
 		return "evidence does not reach the controller"
@@ -220,7 +220,14 @@
 	return Decision{Kind: Hold, Reason: reason}
 }
 
-func (p *Planner) due() time.Time {
+// fewRequests reports whether the next proving step gives the new versions so
+// few requests that waiting for it only delays the evidence.
+func (p *Planner) fewRequests(now time.Time) bool {
+	next := nextPermille(p.step.Permille)
+	return next <= provingPermille && p.traffic.rate(now)*float64(next)/FullProgress <= smallRate
+}
+
+func (p *Planner) due(now time.Time) time.Time {
 	if p.step.Permille >= FullProgress {
 		return p.schedule.done(p.stepAt)
 	}
@@ -229,7 +236,7 @@
 	}
 	earliest := p.stepAt.Add(p.schedule.dwell())
 	at := p.schedule.enter(nextPermille(p.step.Permille))
-	if at.Before(earliest) {
+	if at.Before(earliest) || p.fewRequests(now) {
 		return earliest
 	}
 	return at
@@ -252,9 +259,9 @@
 }
 
 // focus is the number of targets that together see their full load at the
-// progress. The first step spreads over all targets, so that each warms up.
+// progress. During the warm-up the traffic is spread over all targets.
 func (p *Planner) focus(permille uint32) uint32 {
-	if permille <= warmUpPermille {
+	if permille <= warmUpPermille || permille <= provingPermille && p.targets.cold() > 0 {
 		return 0
 	}
 	var focus uint32
--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -1,7 +1,6 @@
 package move
 
 import (
-	"math"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/model"
@@ -47,7 +46,7 @@
 	// doubt is the doubt at which a version counts as proved.
 	doubt float64
 	// relax, even and force are fractions of the window: from relax to even
-	// the allowed doubt rises to zero, from force on any doubt is allowed.
+	// the allowed doubt rises to zero, from force on it is refusedDoubt.
 	relax, even, force float64
 }
 
@@ -122,7 +121,7 @@
 	f := float64(now.Sub(s.accepted)) / float64(s.window())
 	switch {
 	case f >= s.pace.force:
-		return math.Inf(1)
+		return refusedDoubt
 	case f <= s.pace.relax:
 		return s.pace.doubt
 	case f < s.pace.even:
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -10,9 +10,14 @@
 // back by chance.
 const FalseAlarmBound = 1e-4
 
-// provedDoubt is the doubt at which a version counts as proved: a regression
-// of the smallest size that matters is 20 times less likely than none.
-const provedDoubt = -3.0
+const (
+	// provedDoubt is the doubt at which a version counts as proved: every
+	// regression that matters is 20 times less likely than none.
+	provedDoubt = -3.0
+	// refusedDoubt is the doubt from which a version never counts as proved:
+	// some regression is 100 times more likely than none.
+	refusedDoubt = 4.6
+)
 
 const (
 	// firstStartWeight is the weight of a regression that is present from
@@ -81,7 +86,7 @@
 	}
 	noisy := j.noisyServices()
 	for key, test := range j.routes {
-		c := circumstances{noisy: noisy[key.service] || j.cautious, stretched: j.loads[key.service].stretched()}
+		c := circumstances{noisy: noisy[key.service] || j.cautious && stage.Permille >= relievedPermille, stretched: j.loads[key.service].stretched()}
 		test.flush(stage, c, weight)
 		if closing {
 			test.closeBlock()
@@ -152,7 +157,7 @@
 	v.Doubt = math.Inf(-1)
 	for _, test := range j.routes {
 		for _, m := range test.measures {
-			v.Doubt = math.Max(v.Doubt, m.doubt)
+			v.Doubt = math.Max(v.Doubt, m.doubt())
 		}
 	}
 	if len(j.routes) == 0 {
--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -14,6 +14,9 @@
 	idleAfter = 30 * time.Second
 	// evidenceLag is how late evidence may be without being missing.
 	evidenceLag = 1500 * time.Millisecond
+	// smallRate is the requests per second of the new versions up to which a
+	// proving step is taken without waiting for its time.
+	smallRate = 20.0
 	// expectedRequests is how many requests of the new version must be
 	// expected before their absence counts as missing evidence.
 	expectedRequests = 5
@@ -60,6 +63,17 @@
 	return r.sum / (rateWindow.Seconds() * (1 - decay(seen)))
 }
 
+// rate estimates the requests per second of all routes.
+func (t *traffic) rate(now time.Time) float64 {
+	var sum float64
+	for _, r := range t.routes {
+		if now.Sub(r.last) < idleAfter {
+			sum += r.rate()
+		}
+	}
+	return sum
+}
+
 func (t *traffic) startStep(now time.Time) {
 	t.stepAt = now
 	for _, r := range t.routes {
