--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -9,6 +9,10 @@
 type Stage struct {
 	// Permille is the progress, of 0 to FullProgress.
 	Permille uint32
+	// Focus is how many targets of each new version take its share; zero means all.
+	Focus uint32
+	// Targets counts the ready targets of each service.
+	Targets map[string]TargetCount
 	// Cold is the fraction of the new versions' traffic that cold targets
 	// may be serving, of 0 to 1. Slow requests up to this fraction are expected.
 	Cold float64
@@ -23,9 +27,9 @@
 	Bad bool
 	// Reason names the service, the route and the measure of a bad verdict.
 	Reason string
-	// Doubt is the strongest evidence on any route that a small regression
-	// is present, as a natural logarithm of a likelihood ratio. Negative
-	// values speak for the new versions, zero means no evidence.
+	// Doubt is the strongest evidence on any route for a regression of any
+	// size, as a natural logarithm of a likelihood ratio. Negative values
+	// speak for the new versions, zero means no evidence.
 	Doubt float64
 }
 
