--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -6,22 +6,23 @@
 	"strconv"
 	"time"
 
+	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/move"
 	"github.com/magnoliamount/magnoliamount/internal/wire"
 )
 
 // evidence gathers samples of this daemon and its subtree until they are sent
-// up, and holds the daemon's own brakes.
+// up, and holds the daemon's own judgements.
 type evidence struct {
 	pending []move.Sample
-	brakes  map[uint64]*move.Brake
+	judges  map[uint64]*localJudge
 	next    time.Time
 }
 
 // maxPendingSamples bounds the samples that wait, for a node without a parent.
 const maxPendingSamples = 4096
 
-func (e *evidence) init() { e.brakes = map[uint64]*move.Brake{} }
+func (e *evidence) init() { e.judges = map[uint64]*localJudge{} }
 
 // add takes over samples of a child.
 func (e *evidence) add(in []*wire.Sample) {
@@ -39,57 +40,44 @@
 	}
 }
 
+// localJudge is this daemon's own judgement of an open ticket.
+type localJudge struct {
+	brake   *move.Brake
+	targets *move.TargetWatch
+}
+
 // samplesTaken judges this daemon's own samples, which needs no one else, and
-// adds them to the evidence for the controller.
+// adds them to the evidence for the controller. An interval without samples
+// counts as well, since targets come and go in it.
 func (n *Node) samplesTaken(samples []move.Sample) {
-	byTicket := map[uint64][]move.Sample{}
-	for _, s := range samples {
-		if n.state.Open[s.Key.Ticket] == nil {
-			continue
+	for _, number := range slices.Sorted(maps.Keys(n.state.Open)) {
+		own := samplesOf(number, samples)
+		for _, s := range own {
+			n.evidence.append(s)
 		}
-		byTicket[s.Key.Ticket] = append(byTicket[s.Key.Ticket], s)
-		n.evidence.append(s)
-	}
-	for _, number := range slices.Sorted(maps.Keys(byTicket)) {
-		n.judgeLocally(number, byTicket[number])
+		n.judgeLocally(n.state.Open[number], own)
 	}
 }
 
-func (n *Node) judgeLocally(number uint64, own []move.Sample) {
-	brake := n.evidence.brakes[number]
-	if brake == nil {
-		brake = move.NewBrake(nil)
-		n.evidence.brakes[number] = brake
-	}
-	brake.Observe(n.now, n.stage(number), own)
-	if reason, set := brake.Set(); set {
-		n.setBrake(noLink, &wire.Brake{Ticket: number, Reason: reason, Vm: n.cfg.VM})
-	}
+func samplesOf(ticket uint64, samples []move.Sample) []move.Sample {
+	return slices.DeleteFunc(slices.Clone(samples), func(s move.Sample) bool { return s.Key.Ticket != ticket })
 }
 
-// stage describes the traffic under which this daemon took its samples.
-func (n *Node) stage(number uint64) move.Stage {
-	stage := move.Stage{Permille: n.steps[number].Permille}
-	open := n.state.Open[number]
-	var cold, all float64
-	for _, e := range n.members.Live() {
-		if !gains(open, e.Target.Service, e.Target.Version) {
-			continue
-		}
-		all++
-		if n.now.Sub(e.Target.Started) < coldFor {
-			cold++
-		}
+func (n *Node) judgeLocally(open *model.OpenTicket, own []move.Sample) {
+	number := open.Ticket.Number
+	step := n.steps[number]
+	judge := n.evidence.judges[number]
+	if judge == nil {
+		judge = &localJudge{brake: move.NewBrake(nil), targets: move.NewTargetWatch(open, step.Permille > 0)}
+		n.evidence.judges[number] = judge
 	}
-	if all > 0 {
-		stage.Cold = cold / all
+	judge.targets.Update(n.now, n.targetCounts(open), step)
+	judge.brake.Observe(n.now, judge.targets.Stage(n.now, step), own)
+	if reason, set := judge.brake.Set(); set {
+		n.setBrake(noLink, &wire.Brake{Ticket: number, Reason: reason, Vm: n.cfg.VM})
 	}
-	return stage
 }
 
-// coldFor is how long a target counts as cold after its start.
-const coldFor = 10 * time.Second
-
 // flushEvidence sends the evidence up, or feeds the controller's planners.
 func (n *Node) flushEvidence() {
 	e := &n.evidence
@@ -97,9 +85,9 @@
 		return
 	}
 	e.next = n.now.Add(n.cfg.Timings.Evidence)
-	for number := range e.brakes {
+	for number := range e.judges {
 		if n.state.Open[number] == nil {
-			delete(e.brakes, number)
+			delete(e.judges, number)
 		}
 	}
 	if len(e.pending) == 0 {
@@ -120,8 +108,7 @@
 
 func (n *Node) observe(samples []move.Sample) {
 	for number, open := range n.state.Open {
-		own := slices.DeleteFunc(slices.Clone(samples), func(s move.Sample) bool { return s.Key.Ticket != number })
-		if len(own) > 0 {
+		if own := samplesOf(number, samples); len(own) > 0 {
 			n.planner(open).Observe(n.now, own)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,9 +161,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			if samples := d.collector.Drain(); len(samples) > 0 {
-				d.loop.post(core.SamplesTaken{Samples: samples})
-			}
+			d.loop.post(core.SamplesTaken{Samples: d.collector.Drain()})
 		case <-ctx.Done():
 			return
 		}
