--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -22,11 +22,7 @@
 	if _, err := arguments(command); err != nil {
 		return err
 	}
-	client, err := newClient(command)
-	if err != nil {
-		return err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// connect returns the client of the command and the context that --timeout bounds.
+func connect(ctx context.Context, command *cli.Command) (*admin.Client, context.Context, context.CancelFunc, error) {
+	client, err := newClient(command)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	bounded, cancel, err := timed(ctx, command)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return client, bounded, cancel, nil
+}
+
 // timed bounds a command by --timeout.
 func timed(ctx context.Context, command *cli.Command) (context.Context, context.CancelFunc, error) {
 	limit := command.Duration(timeoutFlag)
@@ -119,11 +132,7 @@
 }
 
 func remoteCheck(ctx context.Context, command *cli.Command, t *model.Ticket) (admin.CheckResult, error) {
-	client, err := newClient(command)
-	if err != nil {
-		return admin.CheckResult{}, err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return admin.CheckResult{}, err
 	}
@@ -137,11 +146,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := newClient(command)
-	if err != nil {
-		return err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -175,11 +180,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := newClient(command)
-	if err != nil {
-		return err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -199,11 +200,7 @@
 	if limit < 1 || limit > admin.MaxTickets {
 		return usage(nil, "--limit %d is not from 1 to %d", limit, admin.MaxTickets)
 	}
-	client, err := newClient(command)
-	if err != nil {
-		return err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -36,11 +36,7 @@
 	if command.Duration("interval") <= 0 {
 		return usage(nil, "--interval is not positive")
 	}
-	client, err := newClient(command)
-	if err != nil {
-		return err
-	}
-	ctx, cancel, err := timed(ctx, command)
+	client, ctx, cancel, err := connect(ctx, command)
 	if err != nil {
 		return err
 	}
