--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -19,6 +19,8 @@
 	Digest   string `json:"digest"`
 	// State is "open", or the result: "done", "taken-back" or "superseded".
 	State  string `json:"state"`
+	// Reason explains the result. For an open ticket the controller gives the
+	// reason why its moves do not advance.
 	Reason string `json:"reason,omitempty"`
 	// InForce is true when every reachable daemon has applied the revision.
 	InForce bool `json:"in_force"`
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -21,11 +21,14 @@
 	// ending holds the tickets whose outcome is being written.
 	ending map[uint64]bool
 	next   time.Time
+	// holding says why the open tickets do not advance.
+	holding map[uint64]string
 }
 
 func (m *movePlans) init() {
 	m.planners = map[uint64]*move.Planner{}
 	m.ending = map[uint64]bool{}
+	m.holding = map[uint64]string{}
 }
 
 // tickMoves sends evidence up, and lets the controller decide.
@@ -39,6 +42,7 @@
 		if n.state.Open[number] == nil {
 			delete(n.moves.planners, number)
 			delete(n.moves.ending, number)
+			delete(n.moves.holding, number)
 		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(n.state.Open)) {
@@ -64,6 +68,7 @@
 		p.Braked(n.now, brake.GetReason())
 	}
 	decision := p.Next(n.now, move.Conditions{EvidenceLive: n.evidenceLive(), Targets: n.targetCounts(open)})
+	n.moves.holding[number] = decision.Reason
 	switch decision.Kind {
 	case move.Advance:
 		n.advance(decision.Step)
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -57,6 +57,8 @@
 	Children   int
 	PlatformUp bool
 	Progress   map[uint64]uint32
+	// Holding says why open tickets do not advance; only the controller knows.
+	Holding map[uint64]string
 	Members    []MemberView
 }
 
@@ -89,6 +91,7 @@
 		Children:   len(n.tree.children),
 		PlatformUp: !n.calls.down,
 		Progress:   map[uint64]uint32{},
+		Holding:    maps.Clone(n.moves.holding),
 	}
 	if n.tree.parent != nil {
 		view.Parent = n.tree.parent.vm
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -85,7 +85,7 @@
 func describeTicket(view core.Snapshot, number uint64) admin.TicketStatus {
 	status := admin.TicketStatus{
 		Number: number, State: "open", Members: view.Statement.Members, Applied: view.Statement.Members,
-		Unreachable: view.Statement.Unreachable, Progress: view.Progress[number],
+		Unreachable: view.Statement.Unreachable, Progress: view.Progress[number], Reason: view.Holding[number],
 	}
 	if outcome, ended := view.State.Outcomes[number]; ended {
 		status.State = string(outcome.Result)
