--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -18,7 +18,7 @@
 	Revision uint64 `json:"revision"`
 	Digest   string `json:"digest"`
 	// State is "open", or the result: "done", "taken-back" or "superseded".
-	State  string `json:"state"`
+	State string `json:"state"`
 	// Reason explains the result. For an open ticket the controller gives the
 	// reason why its moves do not advance.
 	Reason string `json:"reason,omitempty"`
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -59,7 +59,7 @@
 	Progress   map[uint64]uint32
 	// Holding says why open tickets do not advance; only the controller knows.
 	Holding map[uint64]string
-	Members    []MemberView
+	Members []MemberView
 }
 
 // StatementView is the newest statement about what is in force.
