Do not leave the proving step before every active route has used the new version

A property test found that a move with no time left went beyond 5% without a request of the new version: on steps of a second the evidence was not yet expected, and no doubt counted as proof.

--- a/internal/move/collector.go
+++ b/internal/move/collector.go
@@ -105,3 +105,19 @@
 	}
 	return 1
 }
+
+// routeKey names a route of a service.
+type routeKey struct {
+	service string
+	route   string
+}
+
+func (k routeKey) compare(other routeKey) int {
+	return cmp.Or(cmp.Compare(k.service, other.service), cmp.Compare(k.route, other.route))
+}
+
+// insertKey inserts a key that keys does not hold.
+func insertKey(keys []routeKey, key routeKey) []routeKey {
+	at, _ := slices.BinarySearchFunc(keys, key, routeKey.compare)
+	return slices.Insert(keys, at, key)
+}
--- /dev/null
+++ b/internal/move/collector_test.go
@@ -0,0 +1,104 @@
+package move_test
+
+import (
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/move"
+)
+
+var _ = Describe("latency buckets", func() {
+	// Guards against bounds that do not cover the range of timeouts or that
+	// overlap, which would shift every percentile.
+	It("rises from 0.25 ms to over 60 s", func() {
+		Expect(move.BucketBound(0)).To(Equal(250 * time.Microsecond))
+		Expect(move.BucketBound(move.LatencyBuckets - 1)).To(BeNumerically(">", 60*time.Second))
+		for i := 1; i < move.LatencyBuckets; i++ {
+			Expect(move.BucketBound(i)).To(BeNumerically(">", move.BucketBound(i-1)))
+			Expect(move.BucketOf(move.BucketBound(i - 1))).To(Equal(i))
+		}
+		Expect(move.BucketOf(time.Hour)).To(Equal(move.LatencyBuckets - 1))
+	})
+
+	// Guards against evidence that changes on its way to the controller, and
+	// against bytes spent on empty buckets.
+	It("survives the wire without trailing zeros", func() {
+		s := move.Sample{Key: key("lookup", true), Requests: 3, Errors: 1}
+		s.Latency[4] = 3
+		w := s.ToWire()
+		Expect(w.GetLatency()).To(Equal([]uint32{0, 0, 0, 0, 3}))
+		Expect(move.SampleFromWire(w)).To(Equal(s))
+		empty := move.Sample{Key: key("lookup", false)}
+		Expect(empty.ToWire().GetLatency()).To(BeEmpty())
+	})
+
+	// Guards against a panic or lost counts when another release sends more buckets.
+	It("adds surplus buckets to the last one", func() {
+		s := move.Sample{}
+		w := s.ToWire()
+		w.Latency = make([]uint32, move.LatencyBuckets+2)
+		w.Latency[move.LatencyBuckets] = 2
+		w.Latency[move.LatencyBuckets+1] = 3
+		Expect(move.SampleFromWire(w).Latency[move.LatencyBuckets-1]).To(Equal(uint32(5)))
+	})
+})
+
+var _ = Describe("Collector", func() {
+	observe := func(c *move.Collector, isNew bool, fingerprint uint64) {
+		c.Observe(move.Observation{Key: key("lookup", isNew), Latency: time.Millisecond, Failed: true, CrashFingerprint: fingerprint})
+	}
+
+	// Guards against a good version being blamed for a poisonous request that
+	// callers send again and again.
+	It("counts one fingerprint as one failure, also over intervals", func() {
+		c := move.NewCollector()
+		for range 5 {
+			observe(c, true, 42)
+			observe(c, false, 42)
+		}
+		Expect(c.Drain()).To(HaveLen(1))
+		observe(c, true, 42)
+		Expect(c.Drain()).To(BeEmpty())
+	})
+
+	// Guards against the victims of one dying target counting as many failures.
+	It("counts the crashes of an interval as one failure for each key", func() {
+		c := move.NewCollector()
+		for fingerprint := range uint64(10) {
+			observe(c, true, fingerprint+1)
+		}
+		Expect(c.Drain()[0].Errors).To(Equal(uint32(1)))
+		observe(c, true, 99)
+		Expect(c.Drain()[0].Errors).To(Equal(uint32(1)))
+	})
+
+	// Guards against lost or doubled counts when requests end concurrently
+	// with a drain.
+	It("loses nothing under concurrent use", func() {
+		c := move.NewCollector()
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				for range 1000 {
+					observe(c, true, 0)
+				}
+			})
+		}
+		var sum move.Sample
+		for range 100 {
+			for _, s := range c.Drain() {
+				sum.Add(&s)
+			}
+		}
+		wg.Wait()
+		for _, s := range c.Drain() {
+			sum.Add(&s)
+		}
+		Expect(sum.Requests).To(Equal(uint32(8000)))
+		Expect(sum.Errors).To(Equal(uint32(8000)))
+		Expect(sum.Latency[move.BucketOf(time.Millisecond)]).To(Equal(uint32(8000)))
+	})
+})
--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -200,6 +200,8 @@
 		return "the new version has no ready target"
 	case p.traffic.missing(now, p.step.Permille):
 		return "evidence of the new version is missing"
+	case p.step.Permille == provingPermille && p.traffic.unseen(now, p.schedule.patience()):
+		return "a route has not used the new version yet"
 	case p.step.Permille == provingPermille && !p.proved(now):
 		return "the new version is not yet proved"
 	}
--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -20,6 +20,10 @@
 	// minWarmUp and maxWarmUp bound the time during which cold targets may be slow.
 	minWarmUp = 2 * time.Second
 	maxWarmUp = 10 * time.Second
+	// minPatience and maxPatience bound how long a proving step waits for the
+	// first request of a quiet route, besides evidenceLag.
+	minPatience = 2 * time.Second
+	maxPatience = 10 * time.Second
 	// minMargin and maxMargin bound the time between done and the finish time.
 	minMargin = time.Second
 	maxMargin = 10 * time.Second
@@ -35,6 +39,7 @@
 	dwellFraction    = 0.02
 	marginFraction   = 0.05
 	overtimeFraction = 0.5
+	patienceFraction = 0.15
 )
 
 // pace holds the fractions of a preference.
@@ -97,6 +102,10 @@
 	return min(max(s.fraction(s.pace.full*s.pace.enter[1]), minWarmUp), maxWarmUp)
 }
 
+func (s schedule) patience() time.Duration {
+	return evidenceLag + min(max(s.fraction(patienceFraction), minPatience), maxPatience)
+}
+
 func (s schedule) overtime() time.Duration {
 	return max(s.fraction(overtimeFraction), minOvertime)
 }
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -41,19 +41,17 @@
 	cautious bool
 	verdict  Verdict
 	routes   map[routeKey]*routeTest
-	loads    map[string]*loadWatch
-	seen     int
+	// order holds the keys of routes in order, so that equal evidence always
+	// gives the same verdict.
+	order []routeKey
+	loads map[string]*loadWatch
+	seen  int
 	// seenAt is when the last interval ended.
 	seenAt time.Time
 	// blockAt is when the current block of the history began.
 	blockAt time.Time
 }
 
-type routeKey struct {
-	service string
-	route   string
-}
-
 // NewSequentialJudge returns a judge whose probability of a false alarm over
 // the whole move is at most bound.
 func NewSequentialJudge(bound float64) *SequentialJudge {
@@ -76,6 +74,7 @@
 		key := routeKey{samples[i].Key.Service, samples[i].Key.Route}
 		if j.routes[key] == nil {
 			j.routes[key] = newRouteTest()
+			j.order = insertKey(j.order, key)
 		}
 		j.routes[key].add(&samples[i])
 	}
@@ -85,7 +84,8 @@
 		j.blockAt = now
 	}
 	noisy := j.noisyServices()
-	for key, test := range j.routes {
+	for _, key := range j.order {
+		test := j.routes[key]
 		c := circumstances{noisy: noisy[key.service] || j.cautious && stage.Permille >= relievedPermille, stretched: j.loads[key.service].stretched()}
 		test.flush(stage, c, weight)
 		if closing {
--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -25,6 +25,8 @@
 // traffic knows how much evidence each route should give.
 type traffic struct {
 	routes map[routeKey]*routeTraffic
+	// order holds the keys of routes in order, so that sums are repeatable.
+	order  []routeKey
 	stepAt time.Time
 }
 
@@ -34,6 +36,8 @@
 	sum float64
 	// newInStep counts the new version's requests since the last step.
 	newInStep uint32
+	// newTotal counts the new version's requests.
+	newTotal uint64
 }
 
 func newTraffic() *traffic { return &traffic{routes: map[routeKey]*routeTraffic{}} }
@@ -44,6 +48,7 @@
 	if !ok {
 		r = &routeTraffic{first: now, last: now}
 		t.routes[key] = r
+		t.order = insertKey(t.order, key)
 	}
 	if s.Requests == 0 {
 		return
@@ -52,6 +57,7 @@
 	r.last = now
 	if s.Key.New {
 		r.newInStep += s.Requests
+		r.newTotal += uint64(s.Requests)
 	}
 }
 
@@ -66,7 +72,8 @@
 // rate estimates the requests per second of all routes.
 func (t *traffic) rate(now time.Time) float64 {
 	var sum float64
-	for _, r := range t.routes {
+	for _, key := range t.order {
+		r := t.routes[key]
 		if now.Sub(r.last) < idleAfter {
 			sum += r.rate()
 		}
@@ -81,11 +88,29 @@
 	}
 }
 
+// unseen reports whether an active route gave no evidence of the new version
+// at all. A route with little traffic may stay unseen for the patience.
+func (t *traffic) unseen(now time.Time, patience time.Duration) bool {
+	if now.Sub(t.stepAt) >= patience {
+		return false
+	}
+	for _, r := range t.routes {
+		if r.active(now) && r.newTotal == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *routeTraffic) active(now time.Time) bool {
+	return now.Sub(r.last) < idleAfter && r.rate() >= activeRate
+}
+
 // missing reports whether an active route gave no evidence of the new version
 // in this step though it should have.
 func (t *traffic) missing(now time.Time, permille uint32) bool {
 	for _, r := range t.routes {
-		if now.Sub(r.last) >= idleAfter || r.rate() < activeRate {
+		if !r.active(now) {
 			continue
 		}
 		since := now.Sub(t.stepAt) - evidenceLag
