Require a mean rate before a quiet route owes evidence

Cause: a few requests in a row counted as a rate above 0.2 a second, so that a good move of an idle service waited for evidence at its finish time.

--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -36,8 +36,8 @@
 	sum float64
 	// newInStep counts the new version's requests since the last step.
 	newInStep uint32
-	// newTotal counts the new version's requests.
-	newTotal uint64
+	// total and newTotal count the requests of all versions and of the new one.
+	total, newTotal uint64
 }
 
 func newTraffic() *traffic { return &traffic{routes: map[routeKey]*routeTraffic{}} }
@@ -55,6 +55,7 @@
 	}
 	r.sum = r.sum*decay(now.Sub(r.last)) + float64(s.Requests)
 	r.last = now
+	r.total += uint64(s.Requests)
 	if s.Key.New {
 		r.newInStep += s.Requests
 		r.newTotal += uint64(s.Requests)
@@ -102,8 +103,11 @@
 	return false
 }
 
+// active reports whether the route has traffic. The mean since the first
+// request counts too, because a few requests in a row are not a rate.
 func (r *routeTraffic) active(now time.Time) bool {
-	return now.Sub(r.last) < idleAfter && r.rate() >= activeRate
+	mean := float64(r.total) / (now.Sub(r.first) + rateWindow).Seconds()
+	return now.Sub(r.last) < idleAfter && r.rate() >= activeRate && mean >= activeRate
 }
 
 // missing reports whether an active route gave no evidence of the new version
