Add a fault-injecting network for tests and extend the checker

test/faults puts a toxiproxy between each pair of daemons and before the platform. It tells sources apart by the process that owns the socket, because all daemons dial one advertised address from one loopback address.

The checker now also decides from operators' and daemons' records whether an accepted ticket is missing or late, a number was given twice, a bad version stays or a good one is taken back, a leaving target gets new work, and one request crashes more than three targets. Targets record when they leave.

--- a/test/checker/checker.go
+++ b/test/checker/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
 	"github.com/magnoliamount/magnoliamount/test/caller"
@@ -15,6 +16,19 @@
 	KilledListeners []string
 	// KilledVMs are VMs of killed targets.
 	KilledVMs []string
+	// Alive are the VMs whose daemons run and are connected at the end. Each
+	// must have applied every accepted ticket.
+	Alive []string
+	// InForce is how long a daemon may take to apply an accepted ticket; 0
+	// does not check it. Disturbances put it off.
+	InForce      time.Duration
+	Disturbances []Disturbance
+	// Departures are planned stops of daemons. LeaveLimit is how long a
+	// leaving target may get new requests; 0 does not check it.
+	Departures []Departure
+	LeaveLimit time.Duration
+	// Bad are the versions that must be taken back; no others may be.
+	Bad []BadVersion
 }
 
 // attemptKey names one sending of a request.
@@ -48,6 +62,10 @@
 	for _, events := range records.Events {
 		checkRevisions(events, report)
 	}
+	checkTickets(records, options, report)
+	checkVersions(records, options, report)
+	checkCrashes(records.Targets, report)
+	checkDepartures(records.Targets, options, report)
 	return report
 }
 
--- a/test/checker/read.go
+++ b/test/checker/read.go
@@ -1,7 +1,8 @@
 // Package checker decides from the records of callers, targets and daemons
 // whether a run kept the system's promises: no request lost, doubled, cut or
-// crossed, no false "not run", and no daemon that went back to an older
-// revision.
+// crossed, no false "not run", no daemon that went back to an older revision or
+// misses an accepted ticket, no bad version that stays, no good one that is taken
+// back, and no request that crashes one target after another.
 package checker
 
 import (
@@ -22,6 +23,8 @@
 	Callers [][]caller.Result
 	Targets [][]target.Entry
 	Events  [][]timeline.Event
+	// Operators holds, per operator, what it was told.
+	Operators [][]Acceptance
 }
 
 // Files names the files of a run, as JSON lines.
@@ -29,6 +32,10 @@
 	Callers []string
 	Targets []string
 	Events  []string
+	// Logs are daemons' log files; their events are added to Records.Events.
+	Logs []string
+	// Operators are files of Acceptance.
+	Operators []string
 }
 
 // Read reads the files. It fails with fault.Invalid for an unreadable file or
@@ -47,6 +54,14 @@
 	if r.Events, err = readAll[timeline.Event](files.Events); err != nil {
 		return nil, err
 	}
+	logged, err := readLogs(files.Logs)
+	if err != nil {
+		return nil, err
+	}
+	r.Events = append(r.Events, logged...)
+	if r.Operators, err = readAll[Acceptance](files.Operators); err != nil {
+		return nil, err
+	}
 	return &r, nil
 }
 
--- a/test/checker/report.go
+++ b/test/checker/report.go
@@ -21,6 +21,24 @@
 	FalseNotRun Kind = "false-not-run"
 	// Reverted is a daemon that applied a lower revision than before.
 	Reverted Kind = "reverted"
+	// Conflict is a ticket number under which two tickets were accepted.
+	Conflict Kind = "conflict"
+	// Missing is an accepted ticket that a daemon did not apply.
+	Missing Kind = "missing"
+	// Late is an accepted ticket that a daemon applied too late.
+	Late Kind = "late"
+	// NotTakenBack is a bad version without a take-back.
+	NotTakenBack Kind = "not-taken-back"
+	// PartlyTakenBack is a bad version that a service still uses after its take-back.
+	PartlyTakenBack Kind = "partly-taken-back"
+	// Exposed is a bad version that ran too large a share of the requests.
+	Exposed Kind = "exposed"
+	// Misjudged is a good version that was taken back.
+	Misjudged Kind = "misjudged"
+	// CrashSpread is a request that crashed too many targets.
+	CrashSpread Kind = "crash-spread"
+	// LateWork is a request that a target got after it had left.
+	LateWork Kind = "late-work"
 )
 
 // Finding is one broken promise.
@@ -37,6 +55,8 @@
 	Requests int       `json:"requests"`
 	Runs     int       `json:"runs"`
 	Applied  int       `json:"applied"`
+	Tickets  int       `json:"tickets"`
+	Crashes  int       `json:"crashes"`
 	Findings []Finding `json:"findings"`
 	// Tolerated counts cut attempts through a daemon or target that was killed.
 	Tolerated int `json:"tolerated"`
--- /dev/null
+++ b/test/faults/toxic.go
@@ -0,0 +1,76 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
+
+// toxic is a fault in the form that toxiproxy reads.
+type toxic struct {
+	Name       string     `json:"name"`
+	Type       string     `json:"type"`
+	Stream     string     `json:"stream"`
+	Toxicity   float32    `json:"toxicity"`
+	Attributes attributes `json:"attributes"`
+}
+
+// attributes are those of all kinds of toxics in use; each kind reads its own.
+type attributes struct {
+	LatencyMillis int64 `json:"latency,omitempty"`
+	JitterMillis  int64 `json:"jitter,omitempty"`
+	Rate          int64 `json:"rate,omitempty"`
+	Bytes         int64 `json:"bytes,omitempty"`
+	// TimeoutMillis 0 stops the data and keeps the connection.
+	TimeoutMillis int64 `json:"timeout"`
+}
+
+// streams are both directions of a connection.
+var streams = []string{"upstream", "downstream"}
+
+// apply replaces the faults of the link.
+func (p *pair) apply(f Fault) error {
+	p.proxy.Toxics.ResetToxics(context.Background())
+	for _, stream := range streams {
+		for _, t := range f.toxics(stream) {
+			if err := p.add(&t); err != nil {
+				return err
+			}
+		}
+	}
+	p.setCut(f.Cut)
+	return nil
+}
+
+func (f *Fault) toxics(stream string) []toxic {
+	var all []toxic
+	add := func(kind string, a attributes) {
+		all = append(all, toxic{Name: kind + "-" + stream, Type: kind, Stream: stream, Toxicity: 1, Attributes: a})
+	}
+	if f.Stall {
+		add("timeout", attributes{})
+	}
+	if f.Latency > 0 || f.Jitter > 0 {
+		add("latency", attributes{LatencyMillis: f.Latency.Milliseconds(), JitterMillis: f.Jitter.Milliseconds()})
+	}
+	if f.KilobytesPerSecond > 0 {
+		add("bandwidth", attributes{Rate: f.KilobytesPerSecond})
+	}
+	if f.DropAfterBytes > 0 {
+		add("limit_data", attributes{Bytes: f.DropAfterBytes})
+	}
+	return all
+}
+
+func (p *pair) add(t *toxic) error {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the toxic %s", t.Name)
+	}
+	if _, err := p.proxy.Toxics.AddToxicJson(bytes.NewReader(body)); err != nil {
+		return fault.Wrap(err, fault.Invalid, "add the toxic %s", t.Name)
+	}
+	return nil
+}
--- a/test/target/record.go
+++ b/test/target/record.go
@@ -22,6 +22,8 @@
 	Ended Phase = "end"
 	// Crashed is written before the process exits on purpose.
 	Crashed Phase = "crash"
+	// Leaving is written once the daemon knows that the target stops.
+	Leaving Phase = "leaving"
 	// Stopped is the last entry of a planned stop.
 	Stopped Phase = "stop"
 )
--- a/test/target/target.go
+++ b/test/target/target.go
@@ -109,6 +109,8 @@
 func (t *Target) stop() error {
 	if err := t.withdraw(); err != nil {
 		log.Printf("withdraw target: %v", err)
+	} else if err := t.record.write(t.entry(Leaving)); err != nil {
+		return err
 	}
 	time.Sleep(t.options.Linger)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/test/target/target_test.go
+++ b/test/target/target_test.go
@@ -151,7 +151,7 @@
 		for _, e := range t.entries() {
 			phases = append(phases, e.Phase)
 		}
-		Expect(phases).To(Equal([]target.Phase{target.Up, target.Started, target.Ended, target.Stopped}))
+		Expect(phases).To(Equal([]target.Phase{target.Up, target.Started, target.Leaving, target.Ended, target.Stopped}))
 	})
 
 	It("records the start of a run before a crash, so that the run is not lost to the checker", func() {
