Search on after attaching to a parent without a path, so that tickets stay within 10 s when the controller hangs

Cause: when the controller is paused, daemons that lose it attach to one another, since any parent is better than none. Each such attachment put off the next search by 5 to 10 s, even when the parent had no path and the two formed a loop. The same loops made starts of eight daemons take 7 s until the last one was ready.

Ruled out: the lease (taken over 5.6 s after the pause, as designed), the transport (links were closed after 4 s of silence), the platform (no call failed).

Now only a parent with a path ends the search; a daemon without a path that learns of a new controller dials at once; a member that merely has no path is left out for 1 s instead of 5 s.

--- a/internal/core/children.go
+++ b/internal/core/children.go
@@ -257,6 +257,6 @@
 func (n *Node) redirectReceived(id peer.LinkID) {
 	if d := n.tree.dialing; d != nil && d.id == id {
 		n.effects = append(n.effects, CloseLink{Link: id})
-		n.dialFailed()
+		n.dialFailed(suspectFor)
 	}
 }
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -232,5 +232,9 @@
 	if n.lease.held && c.vm != n.cfg.VM {
 		n.loseLease()
 	}
+	if !n.rooted() {
+		delete(n.tree.suspects, c.vm)
+		n.dialSoon()
+	}
 	n.sendWelcomes()
 }
--- a/internal/core/timings.go
+++ b/internal/core/timings.go
@@ -55,6 +55,9 @@
 	// suspectFor is how long a member that could not be reached is left out
 	// of the choice of parents.
 	suspectFor = 5 * time.Second
+	// rootlessFor is how long a member without a path to the controller is
+	// left out. It is alive and may have a path soon.
+	rootlessFor = time.Second
 	// probeRetry is the interval between root probes of a node that is not ready.
 	probeRetry = time.Second
 	// callRetry is the delay before a failed call to the platform is repeated.
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -86,7 +86,7 @@
 	n.checkParent()
 	if d := t.dialing; d != nil && n.now.Sub(d.started) > dialTimeout {
 		n.effects = append(n.effects, CloseLink{Link: d.id})
-		n.dialFailed()
+		n.dialFailed(suspectFor)
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.accepted)) {
 		if n.now.Sub(t.accepted[id]) > dialTimeout {
@@ -176,19 +176,31 @@
 
 // dialFailed leaves the member out for a while and backs off with full
 // jitter, so that a herd of daemons does not reconnect in step.
-func (n *Node) dialFailed() {
+func (n *Node) dialFailed(leaveOut time.Duration) {
 	t := &n.tree
 	if t.dialing == nil {
 		return
 	}
 	if t.dialing.vm != "" {
-		t.suspects[t.dialing.vm] = n.now.Add(suspectFor)
+		t.suspects[t.dialing.vm] = n.now.Add(leaveOut)
 	}
 	t.dialing = nil
+	n.backOff()
+}
+
+func (n *Node) backOff() {
+	t := &n.tree
 	t.backoff = min(max(2*t.backoff, backoffMin), backoffMax)
 	t.nextDial = n.now.Add(n.jitter(t.backoff))
 }
 
+// dialSoon ends a backoff that counts failures before a new controller was known.
+func (n *Node) dialSoon() {
+	t := &n.tree
+	t.backoff = 0
+	t.nextDial = n.now.Add(n.jitter(backoffMin))
+}
+
 func (n *Node) linkUp(id peer.LinkID) {
 	t := &n.tree
 	if id&peer.AcceptedBit != 0 {
@@ -217,7 +229,7 @@
 	delete(t.accepted, id)
 	switch {
 	case t.dialing != nil && t.dialing.id == id:
-		n.dialFailed()
+		n.dialFailed(suspectFor)
 	case t.parent != nil && t.parent.id == id:
 		n.parentLost(err)
 	case t.children[id] != nil:
@@ -283,7 +295,7 @@
 	better := len(path) > 0 || t.parent == nil
 	if !better || n.isController() {
 		n.effects = append(n.effects, CloseLink{Link: d.id})
-		n.dialFailed()
+		n.dialFailed(rootlessFor)
 		return
 	}
 	if len(path) > 0 && d.vm == "" {
@@ -295,8 +307,7 @@
 	wasRooted := n.rooted()
 	t.parent = d
 	t.dialing = nil
-	t.backoff = 0
-	t.nextDial = n.now.Add(suspectFor + n.jitter(suspectFor))
+	n.scheduleDial(len(path) > 0)
 	d.lastHeard = n.now
 	d.path = nil
 	t.sentAck.Reset()
@@ -311,6 +322,18 @@
 	}
 }
 
+// scheduleDial plans the next search after a change of the parent. A parent
+// without a path may itself be below this node, so the search goes on.
+func (n *Node) scheduleDial(rooted bool) {
+	t := &n.tree
+	if !rooted {
+		n.backOff()
+		return
+	}
+	t.backoff = 0
+	t.nextDial = n.now.Add(suspectFor + n.jitter(suspectFor))
+}
+
 // setPath takes over a changed path to the controller and tells the children.
 func (n *Node) setPath(path []string) {
 	p := n.tree.parent
