--- a/internal/core/children.go
+++ b/internal/core/children.go
@@ -292,6 +292,6 @@
 func (n *Node) redirectReceived(id peer.LinkID) {
 	if d := n.tree.dialing; d != nil && d.id == id {
 		n.effects = append(n.effects, CloseLink{Link: id})
-		n.dialFailed()
+		n.dialFailed(suspectFor)
 	}
 }
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -237,10 +237,14 @@
 	if n.lease.held && c.vm != n.cfg.VM {
 		n.loseLease()
 	}
-	if p := n.tree.parent; p != nil && !n.lease.held {
+	if n.tree.parent != nil && !n.lease.held {
 		n.sendUp(n.controllerFrame())
 		n.tree.nextDial = n.now
 	}
+	if !n.rooted() {
+		delete(n.tree.suspects, c.vm)
+		n.dialSoon()
+	}
 	n.sendWelcomes()
 }
 
