--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,9 @@
 # Runs the whole path as separate processes on loopback addresses.
 demo: build
 	bin/demo
+
+# Measures the system in under 10 minutes. BENCH_FLAGS chooses parts, such as
+# --distribution; raw results go to BENCH_OUT.
+BENCH_OUT ?= bench-results
+bench: build
+	bin/bench --out $(BENCH_OUT) --commit "$$(git describe --always --dirty)" $(BENCH_FLAGS)
--- /dev/null
+++ b/test/bench/distribution_rows.go
@@ -0,0 +1,67 @@
+package bench
+
+import "fmt"
+
+func (d *Distribution) rows() []Row {
+	at := func(name string) string { return fmt.Sprintf("%s, %d daemons", name, d.Daemons) }
+	c := d.Convergence
+	note := fmt.Sprintf("%d tickets at %.0f a day, %d effects missing", c.Tickets, c.Rate, c.Missing)
+	rows := []Row{
+		{Name: at("in force everywhere, median"), Unit: "ms", Measured: c.Everywhere.P50, Note: note},
+		{Name: at("in force everywhere, 99th"), Unit: "ms", Measured: c.Everywhere.P99, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: at("in force everywhere, worst"), Unit: "ms", Measured: c.Everywhere.Max, Target: targetConvergenceMs},
+		{Name: at("received per change"), Unit: "B/daemon", Measured: d.PerChange},
+	}
+	rows = append(rows, d.Idle.rows(at("idle"))...)
+	rows = append(rows, d.Changes.rows(at("changes"))...)
+	if d.Polling != nil {
+		rows = append(rows, d.Polling.rows()...)
+	}
+	if d.Churn != nil {
+		rows = append(rows, d.Churn.rows(at("minute of churn"))...)
+		rows = append(rows, Row{
+			Name: at("busiest minute, mean of daemons"), Unit: "B/s", Measured: d.Churn.Received, Stretch: stretchBusiestBytes,
+			Note: fmt.Sprintf("%d restarts and %d tickets in the minute", churnRestarts, churnTickets),
+		})
+	}
+	if d.Herd != nil {
+		rows = append(rows, d.Herd.rows(at("minute of herd restart"))...)
+		rows = append(rows, Row{Name: at("herd restart until ready"), Unit: "s", Measured: d.HerdBack, Note: "a whole failure domain"})
+	}
+	if d.CutOthers != nil {
+		rows = append(rows, d.Cut.rows(at("cut of a domain"))...)
+		rows = append(rows,
+			Row{Name: at("cut: catch-up after it"), Unit: "s", Measured: d.CutBack, Target: 10, Note: "a failure domain frozen for 45 s"},
+			Row{Name: at("cut: others in force, worst"), Unit: "ms", Measured: d.CutOthers.Everywhere.Max, Target: targetConvergenceMs})
+	}
+	return rows
+}
+
+func (p *Phase) rows(name string) []Row {
+	return []Row{
+		{Name: name + ": received, mean", Unit: "B/s", Measured: p.Received, Target: targetBytes},
+		{Name: name + ": received, busiest daemon", Unit: "B/s", Measured: p.ReceivedMost, Target: targetBytes},
+		{Name: name + ": sent, busiest daemon", Unit: "B/s", Measured: p.SentMost, Target: targetBytes},
+		{Name: name + ": processor, mean", Unit: "% of a core", Measured: p.CPU, Target: targetCPU},
+		{Name: name + ": processor, busiest daemon", Unit: "% of a core", Measured: p.CPUMost, Target: targetCPU},
+		{Name: name + ": resident, largest", Unit: "MiB", Measured: p.ResidentMost, Target: targetMiB},
+		{Name: name + ": platform reads", Unit: "1/s", Measured: p.Reads},
+		{Name: name + ": platform writes", Unit: "1/s", Measured: p.Writes},
+	}
+}
+
+func (p *Polling) rows() []Row {
+	return []Row{
+		{Name: "plain polling: idle", Unit: "B/s", Measured: p.IdlePerSecond, Note: fmt.Sprintf("%d pollers", p.Pollers)},
+		{Name: "plain polling: per change", Unit: "B/daemon", Measured: p.PerChange, Note: fmt.Sprintf("whole state of %d B compressed", p.StateBytes)},
+		{Name: "plain polling: platform reads", Unit: "1/s", Measured: p.ReadsPerSecond},
+		{Name: "plain polling: everywhere, worst", Unit: "ms", Measured: p.Everywhere.Max},
+	}
+}
+
+// Targets of a daemon's control cost.
+const (
+	targetCPU = 1.2
+	// targetMiB is 128 MB.
+	targetMiB = 128e6 / (1 << 20)
+)
--- /dev/null
+++ b/test/cmd/bench/main.go
@@ -0,0 +1,94 @@
+// Command bench measures the system; see package test/bench.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/test/bench"
+)
+
+// maxDaemons keeps a run below 150 processes.
+const maxDaemons = 100
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func parts() []bench.Part {
+	return []bench.Part{
+		{Name: "distribution", Measure: bench.MeasureDistribution},
+	}
+}
+
+func command() *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the binaries"},
+		&cli.StringFlag{Name: "out", Value: "bench-results", Usage: "`DIRECTORY` for the raw results"},
+		&cli.IntSliceFlag{Name: "sizes", Value: []int{10, 25, 50, 100}, Usage: "numbers of daemons of the distribution part"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the choice of daemons to restart"},
+		&cli.StringFlag{Name: "commit", Usage: "measured revision of the source"},
+		&cli.IntFlag{Name: "repeats", Value: 3, Usage: "how often noisy parts run"},
+		&cli.BoolFlag{Name: "keep", Usage: "keep the logs of the processes"},
+	}
+	for _, part := range parts() {
+		flags = append(flags, &cli.BoolFlag{Name: part.Name, Usage: "run this part; without any, all run"})
+	}
+	return &cli.Command{Name: "bench", Usage: "measure the system", Flags: flags, Action: run}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	o := &bench.Options{
+		Bin: c.String("bin"), Out: c.String("out"), Sizes: c.IntSlice("sizes"), Seed: c.Uint64("seed"),
+		Commit: c.String("commit"), Repeats: c.Int("repeats"), Keep: c.Bool("keep"),
+	}
+	for _, n := range o.Sizes {
+		if n < 1 || n > maxDaemons {
+			return fault.New(fault.Invalid, "size %d is not 1 to %d", n, maxDaemons)
+		}
+	}
+	var runs []*bench.Run
+	var failed error
+	for _, part := range chosen(c) {
+		result, err := part.Do(o)
+		if result != nil {
+			runs = append(runs, result)
+		}
+		if err != nil {
+			failed = err
+			fmt.Fprintf(os.Stderr, "bench: part %s: %v\n", part.Name, err)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if err := bench.Print(os.Stdout, runs); err != nil {
+		return err
+	}
+	return failed
+}
+
+// chosen returns the parts that are named by flags, or all.
+func chosen(c *cli.Command) []bench.Part {
+	var named []bench.Part
+	for _, part := range parts() {
+		if c.Bool(part.Name) {
+			named = append(named, part)
+		}
+	}
+	if named == nil {
+		return parts()
+	}
+	return named
+}
