--- /dev/null
+++ b/test/bench/control.go
@@ -0,0 +1,63 @@
+package bench
+
+import "time"
+
+// Course of the control cost measurement.
+const (
+	controlDaemons = 50
+	controlIdle    = 15 * time.Second
+	controlTickets = 40
+)
+
+// Control is the raw result of the control cost.
+type Control struct {
+	Daemons int     `json:"daemons"`
+	Idle    []Phase `json:"idle"`
+	Changes []Phase `json:"changes"`
+}
+
+// MeasureControl measures a daemon that carries no requests: idle, and under
+// changes at 196 times the design's rate.
+func MeasureControl(o *Options, dir string) ([]Row, any, error) {
+	c := &Control{Daemons: min(controlDaemons, o.Sizes[len(o.Sizes)-1])}
+	m, err := startMesh(o, dir, c.Daemons)
+	if err != nil {
+		return nil, c, err
+	}
+	defer m.close()
+	if err := m.setUp(); err != nil {
+		return nil, c, err
+	}
+	time.Sleep(settleTime)
+	s := newSampler(m)
+	for range o.Repeats {
+		idle, _ := s.phase("idle", func() error { time.Sleep(controlIdle); return nil })
+		c.Idle = append(c.Idle, idle)
+	}
+	changes, err := s.phase("changes", func() error {
+		_, err := m.submitMany(controlTickets, ticketInterval)
+		return err
+	})
+	c.Changes = append(c.Changes, changes)
+	return c.rows(), c, err
+}
+
+func (c *Control) rows() []Row {
+	var cpu, most []float64
+	for _, p := range c.Idle {
+		cpu = append(cpu, p.CPU)
+		most = append(most, p.CPUMost)
+	}
+	last := c.Idle[len(c.Idle)-1]
+	rows := []Row{
+		{Name: "idle: processor, mean", Unit: "% of a core", Measured: median(cpu), Target: targetCPU, Note: spread(cpu)},
+		{Name: "idle: processor, busiest daemon", Unit: "% of a core", Measured: median(most), Target: targetCPU, Note: spread(most)},
+		{Name: "idle: resident, largest", Unit: "MiB", Measured: last.ResidentMost, Target: targetMiB},
+		{Name: "idle: received, mean", Unit: "B/s", Measured: last.Received, Target: targetBytes},
+		{Name: "idle: sent, busiest daemon", Unit: "B/s", Measured: last.SentMost, Target: targetBytes},
+	}
+	for i := range c.Changes {
+		rows = append(rows, c.Changes[i].rows("changes")...)
+	}
+	return rows
+}
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -28,6 +28,8 @@
 
 func parts() []bench.Part {
 	return []bench.Part{
+		{Name: "fastpath", Measure: bench.MeasureFastPath},
+		{Name: "control", Measure: bench.MeasureControl},
 		{Name: "distribution", Measure: bench.MeasureDistribution},
 	}
 }
--- a/test/cmd/target/main.go
+++ b/test/cmd/target/main.go
@@ -35,6 +35,7 @@
 			&cli.Uint32Flag{Name: "slots", Value: 10},
 			&cli.Uint32Flag{Name: "connections", Value: 120},
 			&cli.StringFlag{Name: "record", Usage: "file for the runs, as JSON lines"},
+			&cli.StringFlag{Name: "next", Usage: "`PATH` that each request calls through the daemon before it is answered"},
 			&cli.DurationFlag{Name: "linger", Value: target.DefaultLinger, Usage: "time for new requests after SIGTERM"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the choice of failing requests"},
 			&cli.FloatFlag{Name: "fail-fraction"},
@@ -55,7 +56,7 @@
 		VM: c.String("vm"), Service: c.String("service"), Version: c.String("version"),
 		Listen: c.String("listen"), Daemon: c.String("daemon"),
 		Slots: c.Uint32("slots"), Connections: c.Uint32("connections"),
-		Record: c.String("record"), Linger: c.Duration("linger"), Seed: c.Uint64("seed"),
+		Record: c.String("record"), Next: c.String("next"), Linger: c.Duration("linger"), Seed: c.Uint64("seed"),
 		Behaviour: target.Behaviour{
 			FailFraction: c.Float("fail-fraction"), LatencyMs: c.Int("latency-ms"),
 			AfterRequests: c.Uint64("after-requests"), PathPrefix: c.String("path-prefix"),
--- a/test/target/handler.go
+++ b/test/target/handler.go
@@ -159,7 +159,7 @@
 		t.finish(run, 0)
 		return
 	}
-	status := http.StatusOK
+	status := t.callNext(w, r)
 	if fail {
 		status = http.StatusInternalServerError
 	}
--- a/test/target/target.go
+++ b/test/target/target.go
@@ -34,7 +34,10 @@
 	Slots       uint32
 	Connections uint32
 	// Record is the file for the runs; empty keeps none.
-	Record    string
+	Record string
+	// Next is a path that each request calls through the daemon first; a
+	// failure of that call becomes the request's status. Empty calls nothing.
+	Next      string
 	Behaviour Behaviour
 	// Linger is how long a stopping target still takes new requests.
 	Linger time.Duration
