--- a/internal/core/acks.go
+++ b/internal/core/acks.go
@@ -92,7 +92,7 @@
 // not below the controller right now hold the statement back until they
 // attach again or are given up.
 func (n *Node) stateInForce(ack *wire.Ack) {
-	if int(ack.GetMembers()) < n.members.CountLive() || ack.GetRevision() == 0 {
+	if int(ack.GetMembers()) < n.members.LiveCount() || ack.GetRevision() == 0 {
 		return
 	}
 	var unreachable []string
--- a/internal/core/timings.go
+++ b/internal/core/timings.go
@@ -54,12 +54,12 @@
 	// backoffMin and backoffMax bound the delay between attempts to attach.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 5 * time.Second
+	// seekInterval is the time between searches for a better parent while the
+	// node has a path to the controller.
+	seekInterval = time.Second
 	// suspectFor is how long a member that could not be reached is left out
 	// of the choice of parents.
 	suspectFor = 5 * time.Second
-	// parentCheck is how often a node with a path to the controller looks for
-	// a better parent.
-	parentCheck = 5 * time.Second
 	// rootlessFor is how long a member without a path to the controller is
 	// left out. It is alive and may have a path soon.
 	rootlessFor = time.Second
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -69,6 +69,17 @@
 	return t.filter(func(e *entry) bool { return e.endpoint.State < Lost })
 }
 
+// LiveCount returns the number of endpoints that are neither lost nor gone.
+func (t *Table) LiveCount() int {
+	count := 0
+	for _, e := range t.entries {
+		if e.endpoint.State < Lost {
+			count++
+		}
+	}
+	return count
+}
+
 // Lost returns the lost endpoints, by VM.
 func (t *Table) Lost() []Endpoint {
 	return t.filter(func(e *entry) bool { return e.endpoint.State == Lost })
@@ -90,24 +101,14 @@
 	return found
 }
 
-// CountLive returns the number of endpoints that are neither lost nor gone.
-func (t *Table) CountLive() int {
-	count := 0
-	for _, e := range t.entries {
-		if e.endpoint.State < Lost {
-			count++
-		}
-	}
-	return count
-}
-
 func byVM(a, b Endpoint) int { return cmp.Compare(a.VM, b.VM) }
 
 // Expire turns endpoints that were lost for longer than lostFor into gone
 // ones, which it returns, and forgets tombstones older than keepGone.
 func (t *Table) Expire(now time.Time, lostFor, keepGone time.Duration) []Endpoint {
 	var expired []Endpoint
-	for vm, e := range t.entries {
+	for _, vm := range t.ended() {
+		e := t.entries[vm]
 		switch age := now.Sub(e.ended); {
 		case e.endpoint.State == Lost && age >= lostFor:
 			e.endpoint.State = Gone
@@ -117,10 +118,22 @@
 			delete(t.entries, vm)
 		}
 	}
-	slices.SortFunc(expired, byVM)
 	return expired
 }
 
+// ended returns the VMs of lost and gone endpoints, sorted. Expire runs in
+// every tick of every daemon, so it must not sort all members.
+func (t *Table) ended() []string {
+	var vms []string
+	for vm, e := range t.entries {
+		if e.endpoint.State >= Lost {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 // Digests returns a digest of the live and lost endpoints of each failure
 // domain. Tables with equal digests hold the same entries.
 func (t *Table) Digests() map[string]uint64 {
