--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/core"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
-	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/peer"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
@@ -315,8 +314,6 @@
 
 func frameBytes(f *wire.Frame) int { return wire.Size(f) }
 
-func submitEvent(id uint64, t *model.Ticket) core.Event { return core.Submit{ID: id, Ticket: t} }
-
 // head returns the newest revision of the log.
 func (m *mesh) head() uint64 {
 	return m.table.items[platform.Key{Partition: "head", Sort: "head"}].Rev
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/magnoliamount/magnoliamount/internal/core"
+	"github.com/magnoliamount/magnoliamount/internal/model"
 )
 
 // defaultSeed makes the verdict of a run without -rapid.seed repeatable.
@@ -22,8 +25,8 @@
 
 // TestRandomFaults drives a small mesh with random faults, restarts and racing
 // operators. It guards against a served revision that goes back, an accepted
-// ticket that disappears, two tickets under one number, and a mesh that does
-// not come together again once the faults end.
+// ticket that disappears, two tickets under one number, a move that never ends,
+// and a mesh that does not come together again once the faults end.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMesh(rapid.Uint64Range(1, 1<<20).Draw(t, "seed"))
@@ -70,7 +73,7 @@
 
 func (h *history) act(t *rapid.T, m *mesh) {
 	d := m.draw(t, "daemon")
-	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "controller", "controller-off-platform", "cut-pair"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "move", "move", "bad", "controller", "controller-off-platform", "cut-pair"}).Draw(t, "action") {
 	case "kill":
 		d.kill()
 	case "start":
@@ -101,6 +104,12 @@
 		m.cut = func(a, b *fakeDaemon) bool { return a == c && b.domain == d.domain || b == c && a.domain == d.domain }
 	case "submit":
 		h.submit(m, d, "")
+	case "move":
+		h.send(d, moving(uint64(len(h.accepted))+1, "service-1", m.now.Add(15*time.Second)))
+	case "bad":
+		for number := range d.node.View().State.Open {
+			d.handle(core.SamplesTaken{Samples: badSamples(number)})
+		}
 	case "race":
 		h.submit(m, d, "first")
 		h.submit(m, m.draw(t, "rival"), "second")
@@ -113,13 +122,16 @@
 
 // submit sends the next ticket that the daemon would accept.
 func (h *history) submit(m *mesh, d *fakeDaemon, note string) {
-	if !d.alive {
-		return
-	}
-	h.next++
 	next := ticket(uint64(len(h.accepted)) + 1)
 	next.Note = note
-	d.handle(submitEvent(h.next, next))
+	h.send(d, next)
+}
+
+func (h *history) send(d *fakeDaemon, t *model.Ticket) {
+	if d.alive {
+		h.next++
+		d.handle(core.Submit{ID: h.next, Ticket: t})
+	}
 }
 
 // collect takes over the replies and checks that no number was given twice.
@@ -156,6 +168,9 @@
 		if len(d.config.Endpoints) != len(m.daemons) {
 			t.Fatalf("%s knows %d of %d endpoints", d.name, len(d.config.Endpoints), len(m.daemons))
 		}
+		if len(view.State.Open) > 0 {
+			t.Fatalf("%s still has open tickets long after their finish time: %v", d.name, view.Progress)
+		}
 		if view.Statement.Revision != head {
 			t.Fatalf("%s knows revision %d to be in force; the log has %d", d.name, view.Statement.Revision, head)
 		}
