--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -183,6 +183,25 @@
 		m.expectRevision(2)
 	})
 
+	It("refuses an outcome that a replaced controller decided before it was paused", func() {
+		old := m.controller()
+		Expect(m.submit(old, 1, ticket(1)).Err).NotTo(HaveOccurred())
+		Expect(m.submit(old, 2, moving(2, "service-1", m.now.Add(time.Minute))).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		m.cut = func(a, b *fakeDaemon) bool { return a == old || b == old }
+		m.breakCutLinks()
+		for range 4 {
+			old.handle(core.SamplesTaken{Samples: badSamples(2)})
+		}
+		old.paused = true
+		m.run(12 * time.Second)
+		Expect(m.controller()).NotTo(BeNil())
+		before := m.head()
+		old.resume()
+		old.handle(core.Tick{})
+		Expect(m.head()).To(Equal(before))
+	})
+
 	It("lets a restarted daemon serve nothing older than before, also in an outage", func() {
 		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
 		m.run(time.Second)
