Count an old version as noisy from 1.5 times its mean

Cause: an overloaded service whose errors rose less than twofold was judged by the calm tolerance at full progress.

--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -35,7 +35,7 @@
 	relievedRank = 1
 	// noisyRatio is how much worse than its mean the worst block of an old
 	// version is that counts as noisy.
-	noisyRatio = 2.0
+	noisyRatio = 1.5
 	// calmBlocks is how many blocks tell whether the old version is noisy.
 	calmBlocks = 20
 	// intervalCap bounds the evidence of one interval, in nats, so that one
