--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -52,8 +52,9 @@
 	blockAt time.Time
 }
 
-// NewSequentialJudge returns a judge whose probability of a false alarm over
-// the whole move is at most bound.
+// NewSequentialJudge returns a judge that rejects a good version with at most
+// the probability bound over the whole move. The bound is exact for a known
+// rate of the old version; here the rate is estimated with an allowance.
 func NewSequentialJudge(bound float64) *SequentialJudge {
 	return &SequentialJudge{limit: -math.Log(bound), routes: map[routeKey]*routeTest{}, loads: map[string]*loadWatch{}}
 }
