--- a/test/faults/faults.go
+++ b/test/faults/faults.go
@@ -35,28 +35,46 @@
 	DropAfterBytes int64
 }
 
-// Links selects links by the names of their ends.
-type Links func(from, to string) bool
+// Link is a direction of traffic from a daemon to a destination.
+type Link struct {
+	From, To string
+	// Peer is true for links of the relay tree, false for requests.
+	Peer bool
+}
+
+// Links selects links.
+type Links func(l Link) bool
 
 // Into selects the links to the destination.
-func Into(name string) Links { return func(_, to string) bool { return to == name } }
+func Into(name string) Links { return func(l Link) bool { return l.To == name } }
 
-// Around selects the links to and from other VMs, without those to the platform.
-func Around(name string) Links {
-	return func(from, to string) bool { return to != Platform && (from == name) != (to == name) }
+// FromTo selects the links from a VM to a destination.
+func FromTo(from, to string) Links {
+	return func(l Link) bool { return l.From == from && l.To == to }
+}
+
+// Pair selects the links between two VMs.
+func Pair(a, b string) Links {
+	return func(l Link) bool { return (l.From == a && l.To == b) || (l.From == b && l.To == a) }
 }
 
+// Around selects the links to and from other VMs, without those to the platform.
+func Around(name string) Links { return Between(name) }
+
 // Between selects the links that cross the border of the group of VMs.
 func Between(group ...string) Links {
 	inside := map[string]bool{}
 	for _, name := range group {
 		inside[name] = true
 	}
-	return func(from, to string) bool { return to != Platform && inside[from] != inside[to] }
+	return func(l Link) bool { return l.To != Platform && inside[l.From] != inside[l.To] }
 }
 
 // Mesh selects all links between VMs.
-func Mesh(_, to string) bool { return to != Platform }
+func Mesh(l Link) bool { return l.To != Platform }
+
+// Tree selects all links of the relay tree.
+func Tree(l Link) bool { return l.Peer }
 
 // rule is a fault in effect.
 type rule struct {
@@ -64,7 +82,10 @@
 	fault Fault
 }
 
-type pairKey struct{ from, to, address string }
+type pairKey struct {
+	link    Link
+	address string
+}
 
 // Network holds the proxies. Its methods may be called from several goroutines.
 type Network struct {
@@ -92,11 +113,11 @@
 // serves as fleet.VMConfig.Via.
 func (n *Network) Via(vm string) func(peer, inbound string) (string, string, error) {
 	return func(peer, inbound string) (string, string, error) {
-		viaPeer, err := n.Front(vm, peer)
+		viaPeer, err := n.front(vm, peer, true)
 		if err != nil {
 			return "", "", err
 		}
-		viaInbound, err := n.Front(vm, inbound)
+		viaInbound, err := n.front(vm, inbound, false)
 		return viaPeer, viaInbound, err
 	}
 }
@@ -107,7 +128,7 @@
 	defer n.mu.Unlock()
 	n.rules = append(n.rules, rule{links, fault})
 	for key, p := range n.pairs {
-		if !links(key.from, key.to) {
+		if !links(key.link) {
 			continue
 		}
 		if err := p.apply(fault); err != nil {
@@ -144,10 +165,10 @@
 }
 
 // faultOf returns the fault in effect on a link. The caller holds the lock.
-func (n *Network) faultOf(from, to string) Fault {
+func (n *Network) faultOf(link Link) Fault {
 	var current Fault
 	for _, r := range n.rules {
-		if r.links(from, to) {
+		if r.links(link) {
 			current = r.fault
 		}
 	}
--- a/test/faults/gate.go
+++ b/test/faults/gate.go
@@ -12,7 +12,9 @@
 
 // Front opens an address that leads to the upstream address of the
 // destination through the proxy of the connecting source.
-func (n *Network) Front(to, upstream string) (string, error) {
+func (n *Network) Front(to, upstream string) (string, error) { return n.front(to, upstream, false) }
+
+func (n *Network) front(to, upstream string, peer bool) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fault.Wrap(err, fault.Internal, "listen in front of %s", upstream)
@@ -20,24 +22,24 @@
 	n.mu.Lock()
 	n.listeners = append(n.listeners, listener)
 	n.mu.Unlock()
-	go n.serve(listener, to, upstream)
+	go n.serve(listener, Link{To: to, Peer: peer}, upstream)
 	return listener.Addr().String(), nil
 }
 
-func (n *Network) serve(listener net.Listener, to, upstream string) {
+func (n *Network) serve(listener net.Listener, link Link, upstream string) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go n.carry(conn.(*net.TCPConn), to, upstream)
+		go n.carry(conn.(*net.TCPConn), link, upstream)
 	}
 }
 
 // carry joins the connection to the proxy of its pair.
-func (n *Network) carry(client *net.TCPConn, to, upstream string) {
-	from := n.sourceOf(client)
-	p, err := n.pair(pairKey{from, to, upstream})
+func (n *Network) carry(client *net.TCPConn, link Link, upstream string) {
+	link.From = n.sourceOf(client)
+	p, err := n.pair(pairKey{link, upstream})
 	if err != nil || !p.enter(client) {
 		reset(client)
 		return
@@ -95,13 +97,13 @@
 	if p := n.pairs[key]; p != nil {
 		return p, nil
 	}
-	proxy := toxiproxy.NewProxy(n.server, key.from+"-"+key.to, "127.0.0.1:0", key.address)
+	proxy := toxiproxy.NewProxy(n.server, key.link.From+"-"+key.link.To, "127.0.0.1:0", key.address)
 	if err := proxy.Start(); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "start the proxy from %s to %s", key.from, key.to)
+		return nil, fault.Wrap(err, fault.Internal, "start the proxy from %s to %s", key.link.From, key.link.To)
 	}
 	p := &pair{proxy: proxy, conns: map[*net.TCPConn]struct{}{}}
 	n.pairs[key] = p
-	return p, p.apply(n.faultOf(key.from, key.to))
+	return p, p.apply(n.faultOf(key.link))
 }
 
 // enter counts the connection unless the link is cut.
--- a/test/faults/owner.go
+++ b/test/faults/owner.go
@@ -1,68 +1,100 @@
 package faults
 
 import (
-	"bufio"
 	"encoding/binary"
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
-)
+	"syscall"
 
-// socketTable lists the IPv4 TCP sockets of the machine.
-const socketTable = "/proc/net/tcp"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+)
 
-// Fields of a line of the socket table.
+// Numbers of the kernel's interface that describes single sockets. The text
+// table in /proc would cost a walk over all sockets for each connection.
 const (
-	localField  = 1
-	remoteField = 2
-	inodeField  = 9
+	netlinkSocketDiag  = 4
+	socketDiagByFamily = 20
+	headerBytes        = 16
+	requestBytes       = 56
+	// Offsets in the request, after the header.
+	sourcePortAt = 8
+	targetPortAt = 10
+	sourceAt     = 12
+	targetAt     = 28
+	cookieAt     = 48
+	// inodeAt is the offset of the inode in the answer, with the header.
+	inodeAt     = headerBytes + 68
+	answerBytes = 512
 )
 
 // sourceOf names the daemon whose socket is the other end of the connection.
 func (n *Network) sourceOf(conn net.Conn) string {
-	inode := inodeOf(conn.RemoteAddr().String(), conn.LocalAddr().String())
-	if inode == "" {
+	inode, err := inodeOf(conn.RemoteAddr().String(), conn.LocalAddr().String())
+	if err != nil || inode == 0 {
 		return ""
 	}
+	link := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
 	for pid, name := range n.owners() {
-		if ownsSocket(pid, "socket:["+inode+"]") {
+		if ownsSocket(pid, link) {
 			return name
 		}
 	}
 	return ""
 }
 
-// inodeOf finds the socket with the addresses.
-func inodeOf(local, remote string) string {
-	file, err := os.Open(socketTable)
+// inodeOf asks the kernel for the socket with the addresses.
+func inodeOf(local, remote string) (uint32, error) {
+	request, err := diagRequest(local, remote)
 	if err != nil {
-		return ""
+		return 0, err
 	}
-	defer func() { _ = file.Close() }()
-	wantLocal, wantRemote := tableAddress(local), tableAddress(remote)
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == wantLocal && fields[remoteField] == wantRemote {
-			return fields[inodeField]
-		}
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, netlinkSocketDiag)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Internal, "open the kernel's socket table")
 	}
-	return ""
+	defer func() { _ = syscall.Close(fd) }()
+	if err := syscall.Sendto(fd, request, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, fault.Wrap(err, fault.Internal, "ask for socket %s", local)
+	}
+	answer := make([]byte, answerBytes)
+	size, _, err := syscall.Recvfrom(fd, answer, 0)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Internal, "read the answer about socket %s", local)
+	}
+	kind := binary.NativeEndian.Uint16(answer[4:])
+	if kind != socketDiagByFamily || size < inodeAt+4 {
+		return 0, fault.New(fault.NotFound, "there is no socket %s", local)
+	}
+	return binary.NativeEndian.Uint32(answer[inodeAt:]), nil
 }
 
-// tableAddress writes an address as the socket table does: the IP as a number
-// in the byte order of the machine, and the port, both in hexadecimal.
-func tableAddress(address string) string {
-	parsed, err := netip.ParseAddrPort(address)
+// diagRequest asks for the one socket with the addresses.
+func diagRequest(local, remote string) ([]byte, error) {
+	from, err := netip.ParseAddrPort(local)
 	if err != nil {
-		return ""
+		return nil, fault.Wrap(err, fault.Invalid, "address %q", local)
+	}
+	to, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "address %q", remote)
 	}
-	ip := parsed.Addr().Unmap().As4()
-	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), parsed.Port())
+	message := make([]byte, headerBytes+requestBytes)
+	binary.NativeEndian.PutUint32(message, uint32(len(message)))
+	binary.NativeEndian.PutUint16(message[4:], socketDiagByFamily)
+	binary.NativeEndian.PutUint16(message[6:], syscall.NLM_F_REQUEST)
+	body := message[headerBytes:]
+	body[0] = syscall.AF_INET
+	body[1] = syscall.IPPROTO_TCP
+	binary.BigEndian.PutUint16(body[sourcePortAt:], from.Port())
+	binary.BigEndian.PutUint16(body[targetPortAt:], to.Port())
+	copy(body[sourceAt:], from.Addr().Unmap().AsSlice())
+	copy(body[targetAt:], to.Addr().Unmap().AsSlice())
+	// A cookie of ones matches any socket.
+	binary.NativeEndian.PutUint64(body[cookieAt:], ^uint64(0))
+	return message, nil
 }
 
 func ownsSocket(pid int, link string) bool {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -70,27 +70,6 @@
 	return f, WaitListening(f.PlatformAddress, 10*time.Second)
 }
 
-// FreeAddresses returns n addresses of the IP with free ports. They are held
-// open together, so that all differ.
-func FreeAddresses(ip string, n int) ([]string, error) {
-	var addresses []string
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "find a free port on %s", ip)
-		}
-		held = append(held, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 // WaitListening waits until the address accepts connections.
 func WaitListening(address string, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
--- /dev/null
+++ b/test/integration/controller_test.go
@@ -0,0 +1,160 @@
+package integration_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/admin"
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/test/standin"
+)
+
+const (
+	// usualRate is the load of most scenarios, in requests a second.
+	usualRate = 80
+	// moveTime is how long the moves of good versions may take.
+	moveTime = 20 * time.Second
+)
+
+var controllerScenarios = []scenario{
+	{"controller-killed", "a move that hangs, goes back or loses its outcome when the controller dies", 101, controllerKilled},
+	{"platform-down", "a move or a lookup that stops with the platform, and a ticket lost by its outage", 102, platformDown},
+	{"controller-frozen", "decisions of a controller that was paused past its lease", 103, controllerFrozen},
+	{"operators-race", "two tickets under one number and an accepted ticket that reverts", 104, operatorsRace},
+	{"platform-slow", "a ticket or a claim that is doubled or lost when calls to the platform time out", 105, platformSlow},
+}
+
+// controllerKilled kills the controller during a move.
+func controllerKilled(w *world) {
+	w.start(usual)
+	w.startLoad(usualRate)
+	t := w.moveBoth(moveTime)
+	w.accept(t)
+	w.waitProgress(t.Number, 10+uint32(w.random.IntN(40)))
+	vm := w.controller()
+	w.killDaemon(vm)
+	w.accept(addRoute(w.number(), "during-takeover"))
+	w.pause(w.between(4*time.Second, 6*time.Second))
+	w.restartDaemon(vm)
+	w.waitState(t.Number, "done")
+}
+
+// platformDown makes the platform refuse everything during a move.
+func platformDown(w *world) {
+	w.start(usual)
+	w.startLoad(usualRate)
+	t := w.moveBoth(moveTime)
+	w.accept(t)
+	w.waitProgress(t.Number, 10)
+	w.platformFaults(standin.Faults{Outage: true})
+	submitted := make(chan error, 1)
+	number := w.number()
+	go func() {
+		_, err := w.submit(w.client, addRoute(number, "during-outage"))
+		submitted <- err
+	}()
+	w.pause(w.between(8*time.Second, 12*time.Second))
+	w.platformFaults(healthyPlatform)
+	w.Expect(<-submitted).To(gomega.Succeed())
+	w.waitState(t.Number, "done")
+}
+
+// controllerFrozen pauses the controller past its lease during a move.
+func controllerFrozen(w *world) {
+	w.start(usual)
+	w.startLoad(usualRate)
+	t := w.moveBoth(moveTime)
+	w.accept(t)
+	w.waitProgress(t.Number, 10)
+	vm := w.controller()
+	done := make(chan struct{})
+	number := w.number()
+	go func() {
+		defer close(done)
+		time.Sleep(time.Second)
+		_, _ = w.submit(w.client, addRoute(number, "during-freeze"))
+	}()
+	w.freeze(vm, w.between(7*time.Second, 9*time.Second))
+	<-done
+	w.waitState(t.Number, "done")
+}
+
+// operatorsRace lets operators submit different tickets under the same
+// numbers at different daemons.
+func operatorsRace(w *world) {
+	w.start(usual)
+	w.startLoad(usualRate)
+	const operators, tickets = 4, 12
+	pauses := make([]time.Duration, operators*tickets)
+	for i := range pauses {
+		pauses[i] = w.between(0, 500*time.Millisecond)
+	}
+	var all sync.WaitGroup
+	failures := make(chan error, operators*tickets)
+	for operator := range operators {
+		client, err := w.fleet.Client(w.vm(operator*2 + 1))
+		w.Expect(err).NotTo(gomega.HaveOccurred())
+		all.Go(func() {
+			for n := range tickets {
+				time.Sleep(pauses[operator*tickets+n])
+				failures <- w.raceOne(client, raceName(operator, n))
+			}
+		})
+	}
+	all.Wait()
+	close(failures)
+	for err := range failures {
+		w.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	numbers := map[uint64]bool{}
+	for _, a := range w.accepted {
+		numbers[a.Number] = true
+	}
+	w.Expect(numbers).To(gomega.HaveLen(1 + operators*tickets))
+	w.next += operators * tickets
+	w.until("every accepted ticket is in the state of a daemon", inForceLimit, func() bool {
+		state := w.state(w.vm(2))
+		for operator := range operators {
+			for n := range tickets {
+				if !strings.Contains(state, raceName(operator, n)) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func raceName(operator, n int) string { return fmt.Sprintf("race-%d-%d", operator, n) }
+
+// raceOne submits a ticket under the next free number until one is accepted.
+func (w *world) raceOne(client *admin.Client, name string) error {
+	number := uint64(2)
+	deadline := time.Now().Add(submitLimit)
+	for {
+		_, err := w.submit(client, addRoute(number, name))
+		if !fault.Is(err, fault.NumberTaken) || time.Now().After(deadline) {
+			return err
+		}
+		number++
+	}
+}
+
+// platformSlow answers late, some writes after the daemons' timeout of 2 s,
+// and takes effect nevertheless.
+func platformSlow(w *world) {
+	w.start(usual)
+	w.startLoad(usualRate / 2)
+	w.platformFaults(standin.Faults{LatencyMillis: 300, AnswerLatencyMillis: 200, ThrottleRate: 0.05})
+	t := w.moveBoth(moveTime)
+	w.accept(t)
+	w.pause(w.between(6*time.Second, 8*time.Second))
+	w.platformFaults(standin.Faults{AnswerLatencyMillis: 2500})
+	w.pause(w.between(4*time.Second, 5*time.Second))
+	w.platformFaults(standin.Faults{LatencyMillis: 300})
+	w.waitState(t.Number, "done")
+}
--- /dev/null
+++ b/test/integration/world_test.go
@@ -0,0 +1,241 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/admin"
+	"github.com/magnoliamount/magnoliamount/test/checker"
+	"github.com/magnoliamount/magnoliamount/test/faults"
+	"github.com/magnoliamount/magnoliamount/test/fleet"
+)
+
+const (
+	// inForceLimit is the design's bound from acceptance to in force.
+	inForceLimit = 10 * time.Second
+	// leaveLimit bounds the time in which a leaving target may get new work.
+	leaveLimit = 5 * time.Second
+	// settleLimit bounds the time in which the mesh comes together after faults.
+	settleLimit = 60 * time.Second
+	// readyLimit bounds the start of a fleet.
+	readyLimit = 40 * time.Second
+	// minAnswered is the fraction of requests that must be answered in a
+	// scenario, so that a mesh that refuses everything does not pass.
+	minAnswered = 0.8
+)
+
+// place is the VM of a target.
+type place struct{ service, version string }
+
+// usual has two services, each with an old and a new version.
+var usual = []place{
+	{order, "v1"}, {order, "v1"}, {order, "v1"}, {order, "v2"},
+	{order, "v2"}, {mandate, "v1"}, {mandate, "v1"}, {mandate, "v2"},
+}
+
+// world is the mesh of one scenario.
+type world struct {
+	gomega.Gomega
+	name   string
+	seed   uint64
+	random *rand.Rand
+	dir    string
+	fleet  *fleet.Fleet
+	net    *faults.Network
+	client *admin.Client
+	check  checker.Options
+	// minAnswered is the fraction of requests that must be answered.
+	minAnswered float64
+	// next is the number of the next ticket.
+	next     uint64
+	loads    []load
+	started  int
+	rejoined map[string]bool
+
+	mu       sync.Mutex
+	accepted []checker.Acceptance
+	pids     map[int]string
+	lines    []string
+}
+
+// failure carries a failed expectation to the end of its scenario.
+type failure struct{ message string }
+
+// runScenario runs a scenario and returns its failure, or "".
+func runScenario(s scenario, bin string) (failed string) {
+	seed := s.seed
+	if *seedFlag != 0 {
+		seed = *seedFlag
+	}
+	w := &world{
+		name: s.name, seed: seed, minAnswered: minAnswered, random: rand.New(rand.NewPCG(seed, 0)), next: 1,
+		pids: map[int]string{}, rejoined: map[string]bool{},
+	}
+	w.Gomega = gomega.NewGomega(func(message string, _ ...int) { panic(failure{message}) })
+	defer func() {
+		if p, ok := recover().(failure); ok {
+			failed = fmt.Sprintf("scenario %q with seed %d: %s\nrecords are in %s\n%s", s.name, seed, p.message, w.dir, w.text())
+		}
+		w.close(failed == "")
+	}()
+	w.open(bin)
+	s.run(w)
+	w.finish()
+	return ""
+}
+
+func (w *world) open(bin string) {
+	var err error
+	w.dir, err = os.MkdirTemp("", "magnoliamount-"+w.name+"-")
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	w.fleet, err = fleet.New(fleet.Config{Bin: bin, Dir: w.dir})
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	w.net = faults.New(w.owners)
+	w.fleet.PlatformVia, err = w.net.Front(faults.Platform, w.fleet.PlatformAddress)
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func (w *world) close(passed bool) {
+	if w.fleet != nil {
+		w.fleet.Close()
+	}
+	if w.net != nil {
+		w.net.Close()
+	}
+	if passed {
+		_ = os.RemoveAll(w.dir)
+	}
+}
+
+// owners names the daemons by process id, for the network.
+func (w *world) owners() map[int]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	copied := map[int]string{}
+	for pid, name := range w.pids {
+		copied[pid] = name
+	}
+	return copied
+}
+
+func (w *world) own(vm *fleet.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pids[vm.Daemon.PID()] = vm.Name
+}
+
+// note adds a line to the scenario's report.
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	line := time.Now().UTC().Format("15:04:05.000 ") + fmt.Sprintf(format, args...)
+	w.lines = append(w.lines, line)
+}
+
+func (w *world) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := ""
+	for _, line := range w.lines {
+		all += line + "\n"
+	}
+	return all
+}
+
+// start starts a VM per place, in four domains of two regions, with the usual
+// load and the first ticket.
+func (w *world) start(places []place, targetArgs ...string) {
+	for i, p := range places {
+		name := fmt.Sprintf("vm-%d", i+1)
+		domain := i%4 + 1
+		vm, err := w.fleet.AddVM(fleet.VMConfig{
+			Name: name, Domain: fmt.Sprintf("domain-%d", domain), Region: fmt.Sprintf("region-%d", (domain+1)/2), Via: w.net.Via(name),
+		})
+		w.Expect(err).NotTo(gomega.HaveOccurred())
+		w.own(vm)
+		w.Expect(vm.StartTarget(p.service, p.version, targetArgs...)).To(gomega.Succeed())
+	}
+	w.waitReady()
+	var err error
+	w.client, err = w.fleet.Client(w.fleet.VMs()...)
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	w.accept(w.setUp())
+	w.waitState(1, "done")
+}
+
+func (w *world) waitReady() {
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	w.Expect(w.fleet.WaitReady(ctx)).To(gomega.Succeed())
+}
+
+// vm returns the VM of the number, from 1.
+func (w *world) vm(number int) *fleet.VM { return w.fleet.VM(fmt.Sprintf("vm-%d", number)) }
+
+// until waits for a condition.
+func (w *world) until(what string, limit time.Duration, condition func() bool) {
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			w.Expect(what).To(gomega.BeEmpty(), "not reached within %s", limit)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// status asks a daemon about itself.
+func (w *world) status(vm *fleet.VM) (admin.Status, bool) {
+	client, err := w.fleet.Client(vm)
+	if err != nil {
+		return admin.Status{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	status, err := client.Status(ctx)
+	return status, err == nil
+}
+
+// controller returns the VM of the controller, as the daemons that answer see it.
+func (w *world) controller() *fleet.VM {
+	var found *fleet.VM
+	w.until("a controller is known", settleLimit, func() bool {
+		for _, vm := range w.fleet.VMs() {
+			if vm.Daemon.Ended() {
+				continue
+			}
+			if status, ok := w.status(vm); ok && status.Controller != "" {
+				found = w.fleet.VM(status.Controller)
+				return found != nil && !found.Daemon.Ended()
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// pause waits between two acts of a scenario.
+func (w *world) pause(d time.Duration) { time.Sleep(d) }
+
+// between draws a duration, which varies the moment of a fault by the seed.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)+1))
+}
+
+func (w *world) writeJSONLines(name string, values []checker.Acceptance) string {
+	path := w.fleet.Path(name)
+	file, err := os.Create(path)
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = file.Close() }()
+	encoder := json.NewEncoder(file)
+	for _, v := range values {
+		w.Expect(encoder.Encode(v)).To(gomega.Succeed())
+	}
+	return path
+}
