Start the evidence window at the takeover, so that a good version is not taken back

Cause: a planner that continues a move after a change of controller counted the time of the current step from the zero time. Every active route without a request of the new version then counted as missing evidence, so at 1% a route with 3 requests a second blocked the move until it was overdue, and the good version was taken back.

Ruled out: evidence that does not reach the controller (the targets' records and the in-force statements show all daemons below it) and missing targets (both services' new versions ran requests throughout).

The planner now starts the window when it is made. internal/move/takeover_test.go fails without the change ('the move has not advanced within ten seconds of the takeover') and passes with it.

--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -106,7 +106,7 @@
 		step:     step,
 		judge:    judge,
 		schedule: schedule,
-		traffic:  newTraffic(),
+		traffic:  newTraffic(now),
 		targets:  NewTargetWatch(cfg.Ticket, step.Permille > 0),
 		flushed:  now,
 		created:  now,
--- /dev/null
+++ b/internal/move/takeover_test.go
@@ -0,0 +1,44 @@
+package move_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+)
+
+func TestMove(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "move")
+}
+
+// sample counts good requests of one second.
+func sample(route string, isNew bool, requests uint32) move.Sample {
+	s := move.Sample{Key: move.SampleKey{Ticket: 1, Service: "order", Route: route, New: isNew}, Requests: requests}
+	s.Latency[4] = requests
+	return s
+}
+
+var _ = It("goes on after a takeover although a route with little traffic has not yet reached the new version", func() {
+	start := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	open := &model.OpenTicket{Accepted: start, Ticket: &model.Ticket{
+		Number:   1,
+		Services: []model.Service{{Name: "order", Versions: []string{"v1", "v2"}, Shares: map[string]uint32{"v2": model.TotalShare}}},
+		Moves:    []model.Move{{Service: "order", Finish: start.Add(20 * time.Second), Prefer: model.OnTime}},
+	}}
+	now := start.Add(8 * time.Second)
+	p := move.NewPlanner(move.Config{Ticket: open, Epoch: 2, Start: move.Step{Ticket: 1, Epoch: 1, Number: 1, Permille: 10}}, now)
+	conditions := move.Conditions{EvidenceLive: true, Targets: map[string]move.TargetCount{"order": {New: 2, Old: 3}}}
+	for range 10 {
+		now = now.Add(time.Second)
+		p.Observe(now, []move.Sample{sample("lookup", false, 50), sample("lookup", true, 1), sample("scan", false, 3)})
+		if p.Next(now, conditions).Kind == move.Advance {
+			return
+		}
+	}
+	Fail("the move has not advanced within ten seconds of the takeover")
+})
--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -33,7 +33,9 @@
 	newInStep uint32
 }
 
-func newTraffic() *traffic { return &traffic{routes: map[routeKey]*routeTraffic{}} }
+func newTraffic(now time.Time) *traffic {
+	return &traffic{routes: map[routeKey]*routeTraffic{}, stepAt: now}
+}
 
 func (t *traffic) add(now time.Time, s *Sample) {
 	key := routeKey{s.Key.Service, s.Key.Route}
