--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,6 @@
 // Run starts a daemon and returns after its planned stop, which the end of
 // ctx begins. It fails with fault.Invalid when the daemon cannot start.
 func Run(ctx context.Context, s *settings.Settings, logger *log.Logger) error {
-	tuneMemory()
 	d, err := newDaemon(s, logger)
 	if err != nil {
 		return err
