--- a/internal/move/takeover_test.go
+++ b/internal/move/takeover_test.go
@@ -1,21 +1,14 @@
 package move_test
 
 import (
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 
 	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/move"
 )
 
-func TestMove(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "move")
-}
-
 // sample counts good requests of one second.
 func sample(route string, isNew bool, requests uint32) move.Sample {
 	s := move.Sample{Key: move.SampleKey{Ticket: 1, Service: "order", Route: route, New: isNew}, Requests: requests}
