Do not let the share of a version without targets fall to one that is being proved

Ruled out: steps (1%, 2% and 5% were applied on time everywhere) and the brake (set 0.9 s after the step to 5%). Such requests are now answered not-run. The test target also repeats a failed announcement after 100 ms instead of 2 s, since a daemon opens its listener a moment after its target starts.

--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -200,9 +200,9 @@
 		return "the new version has no ready target"
 	case p.traffic.missing(now, p.step.Permille):
 		return "evidence of the new version is missing"
-	case p.step.Permille == provingPermille && p.traffic.unseen(now, p.schedule.patience()):
+	case p.step.Permille == ProvingPermille && p.traffic.unseen(now, p.schedule.patience()):
 		return "a route has not used the new version yet"
-	case p.step.Permille == provingPermille && !p.proved(now):
+	case p.step.Permille == ProvingPermille && !p.proved(now):
 		return "the new version is not yet proved"
 	}
 	return ""
@@ -226,7 +226,7 @@
 // few requests that waiting for it only delays the evidence.
 func (p *Planner) fewRequests(now time.Time) bool {
 	next := nextPermille(p.step.Permille)
-	return next <= provingPermille && p.traffic.rate(now)*float64(next)/FullProgress <= smallRate
+	return next <= ProvingPermille && p.traffic.rate(now)*float64(next)/FullProgress <= smallRate
 }
 
 func (p *Planner) due(now time.Time) time.Time {
@@ -244,7 +244,7 @@
 	return at
 }
 
-// proved reports whether the evidence suffices for more than provingPermille.
+// proved reports whether the evidence suffices for more than ProvingPermille.
 func (p *Planner) proved(now time.Time) bool {
 	return p.judge.Verdict().Doubt <= p.schedule.allowedDoubt(now)
 }
@@ -263,7 +263,7 @@
 // focus is the number of targets that together see their full load at the
 // progress. During the warm-up the traffic is spread over all targets.
 func (p *Planner) focus(permille uint32) uint32 {
-	if permille <= warmUpPermille || permille <= provingPermille && p.targets.cold() > 0 {
+	if permille <= warmUpPermille || permille <= ProvingPermille && p.targets.cold() > 0 {
 		return 0
 	}
 	var focus uint32
--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -9,8 +9,8 @@
 const (
 	// warmUpPermille is the progress of the first step.
 	warmUpPermille = 10
-	// provingPermille is the most progress of a version that is not yet proved.
-	provingPermille = 50
+	// ProvingPermille is the most progress of a version that is not yet proved.
+	ProvingPermille = 50
 	// minWindow replaces the time until the finish of a move that has less.
 	minWindow = 10 * time.Second
 	// minDwell and maxDwell bound the shortest stay on a step. Below one
@@ -56,7 +56,7 @@
 }
 
 var (
-	steps       = []uint32{warmUpPermille, 20, provingPermille, 100, 250, 500, 750, FullProgress}
+	steps       = []uint32{warmUpPermille, 20, ProvingPermille, 100, 250, 500, 750, FullProgress}
 	onTimePace  = pace{full: 0.6, enter: []float64{0, 0.14, 0.18, 0.55, 0.7, 0.8, 0.9, 1}, doubt: provedDoubt, relax: 0.33, even: 0.5, force: 0.65}
 	carefulPace = pace{full: 0.8, enter: []float64{0, 0.07, 0.09, 0.65, 0.75, 0.85, 0.93, 1}, doubt: 1.5 * provedDoubt, relax: 0.52, even: 0.65, force: 0.78}
 )
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -67,7 +67,9 @@
 
 // chooseVersion draws a version by shares. The share of a version without
 // targets falls to the other versions: to those that are not new first, then
-// to spare ones, and to new ones last.
+// to spare ones, and to new ones last. It does not fall to a version that is
+// being proved: a bad one would get all the traffic while the old version's
+// targets restart.
 func (c *Chooser) chooseVersion(r *Route) *Version {
 	if r.Version != "" {
 		return usable(r.Service.version(r.Version))
@@ -84,7 +86,7 @@
 			return v
 		}
 	}
-	return c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil })
+	return c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.Proving })
 }
 
 func usable(v *Version) *Version {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -107,6 +107,15 @@
 		Expect(versions).To(Equal(map[string]int{"v1": draws}), "the old version stays in reserve")
 	})
 
+	// Guards against an unproved version that gets all the traffic while the old
+	// version's targets restart, seen in the integration scenario bad-at-once.
+	It("does not let more than its share fall to a version that is being proved", func() {
+		config.Steps = steps(50, 0)
+		config.Endpoints = config.Endpoints[4:]
+		_, versions := drawn(config, "a", start)
+		Expect(versions["v2"]).To(BeNumerically("~", draws*0.05, draws*0.01))
+	})
+
 	// Guards against retries that add to the share of a new version.
 	It("retries on other targets, and on a new version only after itself", func() {
 		config.Steps = steps(500, 0)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -41,6 +41,9 @@
 	Share float64
 	// New is true for a version that gains traffic by the open ticket.
 	New bool
+	// Proving is true for a new version that may not have more than its share,
+	// because the move has not yet shown it to be good.
+	Proving bool
 	// Spare is true for a proved version that may take the share of versions
 	// without targets while its own share is zero, as the old version may at
 	// the end of a move.
@@ -105,6 +108,7 @@
 	configured := c.State.Services[name]
 	for _, version := range configured.Versions {
 		v := &Version{Name: version, Share: shares[version], New: gains[version]}
+		v.Proving = v.New && c.Steps[service.Ticket].Permille <= move.ProvingPermille && !slices.Contains(configured.Proved, version)
 		v.Spare = !v.New && slices.Contains(configured.Proved, version)
 		v.Targets = ofVersion(ready, version)
 		if v.New {
--- a/test/target/announce.go
+++ b/test/target/announce.go
@@ -17,6 +17,9 @@
 	AnnouncePath = "/_magnoliamount/v1/target"
 	// AnnounceInterval is the time between announcements.
 	AnnounceInterval = 2 * time.Second
+	// announceRetry is the pause after a failed announcement, for example
+	// because the daemon has not opened its listener yet.
+	announceRetry = 100 * time.Millisecond
 	// announceTimeout bounds one call, so that a frozen daemon does not hold
 	// back the next announcement for long.
 	announceTimeout = 2 * time.Second
@@ -35,16 +38,16 @@
 	if t.options.Daemon == "" {
 		return
 	}
-	ticker := time.NewTicker(AnnounceInterval)
-	defer ticker.Stop()
 	for {
+		pause := AnnounceInterval
 		if err := t.call(ctx, http.MethodPost); err != nil && ctx.Err() == nil {
 			log.Printf("announce target: %v", err)
+			pause = announceRetry
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
 	}
 }
