--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -221,6 +221,25 @@
 		m.expectRevision(1)
 	})
 
+	It("lets a daemon that starts in an outage serve once the controller has proved its revision", func() {
+		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+		m.run(time.Second)
+		m.table.down = true
+		d := m.daemons[22]
+		d.kill()
+		d.seeds = []string{m.daemons[4].name, m.daemons[7].name}
+		d.start()
+		m.run(15 * time.Second)
+		Expect(d.node.Ready()).To(Succeed())
+		m.expectRevision(1)
+		m.controller().kill()
+		m.run(2 * time.Second)
+		d.kill()
+		d.start()
+		m.run(15 * time.Second)
+		Expect(fault.KindOf(d.node.Ready())).To(Equal(fault.NotReady), "no controller can prove it")
+	})
+
 	It("goes on serving on both sides of a cut and catches up afterwards", func() {
 		Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
 		side := m.controller().domain
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -98,6 +98,8 @@
 	domain string
 	node   *core.Node
 	starts uint64
+	// seeds are the peer addresses in the daemon's settings.
+	seeds  []string
 	alive  bool
 	paused bool
 	// waiting holds events that came while the daemon was paused.
@@ -169,7 +171,7 @@
 	d.replies = map[uint64]core.Reply{}
 	d.node = core.NewNode(core.Config{
 		VM: d.name, Domain: d.domain, Region: "region-1", Incarnation: uint64(d.mesh.now.UnixMicro()) + d.starts,
-		PeerAddress: d.name, InboundAddress: d.name, Token: "secret", Timings: core.DefaultTimings(),
+		PeerAddress: d.name, InboundAddress: d.name, Token: "secret", SeedPeers: d.seeds, Timings: core.DefaultTimings(),
 		Rand: rand.New(rand.NewPCG(d.mesh.random.Uint64(), 2)),
 	}, d.mesh.now)
 }
