Say "unknown" when only the last of several attempts did not run

Cause: the outbound proxy reported the outcome of its last attempt. When the first attempt of an idempotent request ran and its connection died, and the retry found no running target, the caller was told "not run" although a target had run the request.

Ruled out: the inbound proxy, whose answer about its own attempt was true.

The proxy now remembers that an attempt was in doubt and then answers "unknown" with the status of the last attempt and the no-retry mark. internal/proxy/doubt_test.go: before 'Expected not-run to equal unknown', after it passes.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -56,6 +56,7 @@
 			x.finish(a, true)
 			return
 		}
+		x.inDoubt = x.inDoubt || a.outcome() == Unknown
 		x.drop(a)
 		x.o.config.Metrics.retried(x.route.Name)
 		choice = next
@@ -226,6 +227,10 @@
 // finish passes on the attempt's answer. An exhausted request was not retried
 // although its outcome allowed it; daemons upstream must not retry it either.
 func (x *exchange) finish(a *attempt, exhausted bool) {
+	if x.inDoubt && a.outcome() == NotRun {
+		x.finishInDoubt(a)
+		return
+	}
 	setOne(x.w.Header(), RequestHeader, x.in.id)
 	setOne(x.w.Header(), VersionHeader, x.version)
 	if a.refused != nil {
@@ -251,6 +256,22 @@
 	}
 }
 
+// finishInDoubt answers a request whose last attempt did not run, but an
+// earlier one may have: of the whole request, "not run" would be untrue.
+func (x *exchange) finishInDoubt(a *attempt) {
+	setOne(x.w.Header(), VersionHeader, x.version)
+	var status int
+	if a.refused != nil {
+		status = a.refused.status
+	} else {
+		status = a.result.response.StatusCode
+	}
+	x.drop(a)
+	refused := unknown(status, fault.New(fault.UnknownOutcome, "an earlier attempt may have run; the last one did not"))
+	refused.noRetry = true
+	x.refuse(refused)
+}
+
 func answered(outcome Outcome) Outcome {
 	if outcome == "" {
 		return outcomeAnswered
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -148,7 +148,9 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 	tried    []*routing.Target
-	version  string
+	// inDoubt is true once an attempt that may have run was given up.
+	inDoubt bool
+	version string
 }
 
 // prepare checks the request. It returns the answer to one that may not run.
