--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,9 @@
 # Runs the whole path as separate processes on loopback addresses.
 demo: build
 	bin/demo
+
+# Runs a random mix of faults for a bounded time; not part of CI.
+SEED ?= 1
+MINUTES ?= 5
+soak:
+	$(GO) test ./test/integration -count=1 -v -timeout 0 -scenario.soak $(MINUTES) -scenario.seed $(SEED)
--- a/test/integration/controller_test.go
+++ b/test/integration/controller_test.go
@@ -101,7 +101,7 @@
 		all.Go(func() {
 			for n := range tickets {
 				time.Sleep(pauses[operator*tickets+n])
-				failures <- w.raceOne(client, raceName(operator, n))
+				failures <- w.raceOne(client, operator, n)
 			}
 		})
 	}
@@ -119,10 +119,8 @@
 	w.until("every accepted ticket is in the state of a daemon", inForceLimit, func() bool {
 		state := w.state(w.vm(2))
 		for operator := range operators {
-			for n := range tickets {
-				if !strings.Contains(state, raceName(operator, n)) {
-					return false
-				}
+			if !strings.Contains(state, raceName(operator, tickets-1)) {
+				return false
 			}
 		}
 		return true
@@ -132,11 +130,16 @@
 func raceName(operator, n int) string { return fmt.Sprintf("race-%d-%d", operator, n) }
 
 // raceOne submits a ticket under the next free number until one is accepted.
-func (w *world) raceOne(client *admin.Client, name string) error {
+// Each ticket replaces the service and route of the operator's last one.
+func (w *world) raceOne(client *admin.Client, operator, n int) error {
+	var removed []string
+	if n > 0 {
+		removed = []string{raceName(operator, n-1)}
+	}
 	number := uint64(2)
 	deadline := time.Now().Add(submitLimit)
 	for {
-		_, err := w.submit(client, addRoute(number, name))
+		_, err := w.submit(client, addRoute(number, raceName(operator, n), removed...))
 		if !fault.Is(err, fault.NumberTaken) || time.Now().After(deadline) {
 			return err
 		}
@@ -153,6 +156,7 @@
 	t := w.moveBoth(moveTime)
 	w.accept(t)
 	w.pause(w.between(6*time.Second, 8*time.Second))
+	w.accept(addRoute(w.number(), "while-slow"))
 	w.platformFaults(standin.Faults{AnswerLatencyMillis: 2500})
 	w.pause(w.between(4*time.Second, 5*time.Second))
 	w.platformFaults(standin.Faults{LatencyMillis: 300})
--- a/test/integration/finish_test.go
+++ b/test/integration/finish_test.go
@@ -29,6 +29,7 @@
 	w.note("load: %+v", sum)
 	w.probe()
 	w.sameState(alive)
+	w.endWatch()
 	w.decide(alive, sum)
 }
 
@@ -116,8 +117,10 @@
 	report := checker.Check(recorded, w.check)
 	w.note("checked %d requests, %d runs, %d applied revisions, %d acceptances, %d crashes; %d cuts through killed processes",
 		report.Requests, report.Runs, report.Applied, report.Tickets, report.Crashes, report.Tolerated)
-	fmt.Printf("scenario %s, seed %d: %s\n", w.name, w.seed, w.lines[len(w.lines)-1])
+	fmt.Printf("scenario %s, seed %d: %s; answered %d, not run %d, unknown %d, re-sent %d\n",
+		w.name, w.seed, w.lines[len(w.lines)-1], sum.Answered, sum.NotRun, sum.Unknown, sum.Resent)
 	w.Expect(report.Findings[:min(len(report.Findings), maxFindingsShown)]).To(gomega.BeEmpty(), "%d findings", len(report.Findings))
+	w.Expect(!w.mustResend || sum.Resent > 0).To(gomega.BeTrue(), "no request was re-sent")
 	w.Expect(report.Requests).To(gomega.BeNumerically(">", 0))
 	w.Expect(report.Applied).To(gomega.BeNumerically(">", 0))
 	w.Expect(float64(sum.Answered)).To(gomega.BeNumerically(">=", w.minAnswered*float64(sum.Sent)), "answered requests")
--- a/test/integration/links_test.go
+++ b/test/integration/links_test.go
@@ -19,11 +19,14 @@
 
 // updatesDisordered delays the frames of each link differently and breaks
 // links after some bytes, so that daemons change their parents and get updates
-// again, while tickets follow one another quickly.
+// again, while tickets follow one another quickly. Requests and answers between
+// daemons are delayed, too.
 func updatesDisordered(w *world) {
 	w.start(usual)
 	w.startLoad(usualRate)
 	from := time.Now()
+	late := faults.Fault{Latency: 50 * time.Millisecond, Jitter: 50 * time.Millisecond}
+	w.Expect(w.net.Set(func(l faults.Link) bool { return faults.Mesh(l) && !l.Peer }, late)).To(gomega.Succeed())
 	for round := range 4 {
 		for _, vm := range w.fleet.VMs() {
 			f := faults.Fault{Latency: w.between(0, 400*time.Millisecond), Jitter: 200 * time.Millisecond, DropAfterBytes: 8000 + w.random.Int64N(16000)}
@@ -52,6 +55,7 @@
 		for b == a {
 			b = w.vm(1 + w.random.IntN(8)).Name
 		}
+		w.note("cut %s from %s", a, b)
 		w.cut(faults.Pair(a, b), []string{a, b}, w.between(3*time.Second, 5*time.Second), func() {
 			w.accept(addRoute(w.number(), fmt.Sprintf("cut-%d", w.next)))
 		})
--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -37,6 +37,7 @@
 	w.startCaller("reorders", "--rate", "30", "--get-weight", "0", "--once-weight", "1", "--upload-weight", "0", "--timeout", "20s", "--attempts", "4")
 	w.platformFaults(standin.Faults{LoseRate: 0.3})
 	w.pause(w.between(time.Second, 2*time.Second))
+	w.accept(addRoute(w.number(), "before-stop"))
 	w.replace(w.vm(1), place{order, "v1"})
 	w.pause(2 * time.Second)
 }
--- a/test/integration/requests_test.go
+++ b/test/integration/requests_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/magnoliamount/magnoliamount/test/faults"
 	"github.com/magnoliamount/magnoliamount/test/fleet"
 	"github.com/magnoliamount/magnoliamount/test/standin"
 )
@@ -29,7 +30,9 @@
 	w.startCaller("uploads", "--rate", "4", "--get-weight", "0", "--once-weight", "0", "--upload-weight", "1",
 		"--upload-bytes", "4194304", "--upload-time", "3s", "--timeout", "45s")
 	w.pause(w.between(3*time.Second, 4*time.Second))
+	w.accept(addRoute(w.number(), "before-stop"))
 	w.replace(w.vm(6), place{mandate, "v1"})
+	w.accept(addRoute(w.number(), "after-stop", "before-stop"))
 	w.stopTarget(w.vm(7))
 	w.Expect(w.vm(7).StartTarget(mandate, "v1")).To(gomega.Succeed())
 	w.replace(w.vm(2), place{order, "v1"})
@@ -64,6 +67,7 @@
 	t := w.moveOne(order, moveTime)
 	w.accept(t)
 	w.waitProgress(t.Number, 250)
+	w.accept(addRoute(w.number(), "before-crash"))
 	for n := range poisonSendings {
 		w.sendPoison(w.vm(1 + (n*3+w.random.IntN(2))%8))
 		w.pause(300 * time.Millisecond)
@@ -92,17 +96,35 @@
 	}
 }
 
+// serviceTime keeps requests in flight long enough for a cut to hit some.
+var serviceTime = []string{"--cold-ms", "3600000", "--cold-latency-ms", "60"}
+
 // answersLost loses the answers to writes that took effect, most of them
-// claims of once-only requests.
+// claims of once-only requests. It also breaks the links of single daemons
+// while their targets run requests, so that callers re-send what already ran.
 func answersLost(w *world) {
-	w.start(usual)
+	w.start(usual, serviceTime...)
 	w.startLoad(usualRate / 2)
 	w.startCaller("reorders", "--rate", "40", "--get-weight", "0", "--once-weight", "1", "--upload-weight", "0", "--timeout", "20s", "--attempts", "4")
 	w.pause(time.Second)
 	w.platformFaults(standin.Faults{LoseRate: 0.3})
 	w.accept(addRoute(w.number(), "lost-answer"))
-	w.pause(w.between(6*time.Second, 8*time.Second))
+	w.breakRequests(w.between(6*time.Second, 8*time.Second))
 	w.platformFaults(standin.Faults{InternalErrorNext: 60, LoseNext: 60})
 	w.accept(addRoute(w.number(), "internal-error"))
-	w.pause(w.between(5*time.Second, 6*time.Second))
+	w.breakRequests(w.between(5*time.Second, 6*time.Second))
+	w.mustResend = true
+}
+
+// breakRequests breaks the connections of requests to single daemons for a
+// moment, again and again.
+func (w *world) breakRequests(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		to := w.vm(1 + w.random.IntN(3)).Name
+		requests := func(l faults.Link) bool { return !l.Peer && l.To == to }
+		w.Expect(w.net.Set(requests, faults.Fault{Cut: true})).To(gomega.Succeed())
+		w.pause(50 * time.Millisecond)
+		w.Expect(w.net.Heal()).To(gomega.Succeed())
+		w.pause(w.between(200*time.Millisecond, 400*time.Millisecond))
+	}
 }
--- a/test/integration/tickets_test.go
+++ b/test/integration/tickets_test.go
@@ -16,8 +16,6 @@
 const (
 	order   = "order"
 	mandate = "mandate"
-	// archive has no targets. Tickets that must not touch a move use it.
-	archive = "archive"
 	// submitLimit bounds the tries of one submission.
 	submitLimit = 60 * time.Second
 	// outcomeSlack is how much later than its finish time a move may end here.
@@ -39,7 +37,7 @@
 	}
 	return &model.Ticket{
 		Number: w.number(), Note: "set up", Routes: routes,
-		Services: []model.Service{single(order, "v1"), single(mandate, "v1"), single(archive, "v1")},
+		Services: []model.Service{single(order, "v1"), single(mandate, "v1")},
 	}
 }
 
@@ -59,10 +57,14 @@
 	return t
 }
 
-// addRoute is a ticket that touches nothing that is moving.
-func addRoute(number uint64, name string) *model.Ticket {
-	route := model.Route{Name: name, PathPrefix: "/extra/" + name, Service: archive, Class: model.Normal, Idempotent: true}
-	return &model.Ticket{Number: number, Note: name, Routes: []model.Route{route}}
+// addRoute is a ticket that touches nothing that is moving: it adds a service
+// and a route to it, and removes those of an earlier ticket, if one is named.
+func addRoute(number uint64, name string, removed ...string) *model.Ticket {
+	route := model.Route{Name: name, PathPrefix: "/extra/" + name, Service: name, Version: "v1", Class: model.Normal, Idempotent: true}
+	return &model.Ticket{
+		Number: number, Note: name, Services: []model.Service{single(name, "v1")}, Routes: []model.Route{route},
+		RemoveServices: removed, RemoveRoutes: removed,
+	}
 }
 
 // accept submits a ticket until it is accepted, as an operator does.
--- a/test/integration/versions_test.go
+++ b/test/integration/versions_test.go
@@ -53,6 +53,7 @@
 	from := time.Now()
 	w.accept(t)
 	w.expectTakenBack(t, from, maxShare)
+	w.accept(addRoute(w.number(), "during-move"))
 	w.waitState(t.Number, "taken-back")
 	w.pause(4 * time.Second)
 }
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -53,16 +53,20 @@
 	check  checker.Options
 	// minAnswered is the fraction of requests that must be answered.
 	minAnswered float64
+	// mustResend expects that callers re-sent once-only requests.
+	mustResend bool
 	// next is the number of the next ticket.
-	next     uint64
-	loads    []load
-	started  int
-	rejoined map[string]bool
+	next    uint64
+	loads   []load
+	started int
+	watch   *watch
 
 	mu       sync.Mutex
 	accepted []checker.Acceptance
 	pids     map[int]string
-	lines    []string
+	// current holds the process id of each VM's daemon as last started.
+	current map[string]int
+	lines   []string
 }
 
 // failure carries a failed expectation to the end of its scenario.
@@ -76,7 +80,7 @@
 	}
 	w := &world{
 		name: s.name, seed: seed, minAnswered: minAnswered, random: rand.New(rand.NewPCG(seed, 0)), next: 1,
-		pids: map[int]string{}, rejoined: map[string]bool{},
+		pids: map[int]string{}, current: map[string]int{},
 	}
 	w.Gomega = gomega.NewGomega(func(message string, _ ...int) { panic(failure{message}) })
 	defer func() {
@@ -103,6 +107,10 @@
 }
 
 func (w *world) close(passed bool) {
+	if w.watch != nil {
+		w.watch.cancel()
+		w.watch.done.Wait()
+	}
 	if w.fleet != nil {
 		w.fleet.Close()
 	}
@@ -129,6 +137,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pids[vm.Daemon.PID()] = vm.Name
+	w.current[vm.Name] = vm.Daemon.PID()
 }
 
 // note adds a line to the scenario's report.
@@ -166,6 +175,7 @@
 	var err error
 	w.client, err = w.fleet.Client(w.fleet.VMs()...)
 	w.Expect(err).NotTo(gomega.HaveOccurred())
+	w.startWatch()
 	w.accept(w.setUp())
 	w.waitState(1, "done")
 }
