--- a/test/integration/watch_test.go
+++ b/test/integration/watch_test.go
@@ -7,9 +7,11 @@
 	"sync"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliamount/magnoliamount/internal/admin"
+	"github.com/magnoliamount/magnoliamount/internal/ticketfile"
 	"github.com/magnoliamount/magnoliamount/test/fleet"
 )
 
@@ -98,3 +100,12 @@
 	w.Expect(w.watch.broken).To(gomega.BeEmpty())
 	w.Expect(w.watch.samples).To(gomega.BeNumerically(">", 0))
 }
+
+var _ = It("finds a route that points at a service or version that the state lacks: guards against a watch that never fails", func() {
+	service := admin.ServiceBody{Service: ticketfile.Service{Name: order, Versions: []string{"v1"}}}
+	state := &admin.StateBody{Services: []admin.ServiceBody{service}, Routes: []ticketfile.Route{
+		{Name: "good", Service: order, Version: "v1"}, {Name: "bad-version", Service: order, Version: "v2"}, {Name: "bad-service", Service: mandate},
+	}}
+	gomega.Expect(dangling("vm-1", state)).To(gomega.HaveExactElements(gomega.ContainSubstring("bad-version"), gomega.ContainSubstring("bad-service")))
+	gomega.Expect(dangling("vm-1", &admin.StateBody{Services: state.Services, Routes: state.Routes[:1]})).To(gomega.BeEmpty())
+})
