--- a/test/integration/suite_test.go
+++ b/test/integration/suite_test.go
@@ -63,7 +63,7 @@
 
 var running = &runner{slots: make(chan struct{}, parallelScenarios), outcomes: map[string]*outcome{}, selected: map[string]bool{}}
 
-// select chooses scenarios by the flags.
+// prepare chooses scenarios by the flags and starts them in the background.
 func (r *runner) prepare() {
 	filter := regexp.MustCompile(*filterFlag)
 	for _, s := range scenarios {
