Check that a restarted daemon does not serve an older revision than its predecessor

The checker forgot a VM's revision at each start of its daemon, so a daemon that serves too early after a mass restart passed. It now compares at daemon-ready. Hand-made record: 'serves revision 6 after its predecessor applied 7'.

--- a/test/checker/checker.go
+++ b/test/checker/checker.go
@@ -209,14 +209,21 @@
 }
 
 // checkRevisions checks one daemon's events in the order of their recording.
-// A new process of the VM starts without a state.
+// A new process of the VM starts without a state, but may not serve before it
+// has one that is as new as its predecessor's.
 func checkRevisions(events []timeline.Event, report *Report) {
 	applied := map[string]uint64{}
+	before := map[string]uint64{}
 	for i := range events {
 		e := &events[i]
 		switch e.Kind {
 		case timeline.DaemonStarted:
+			before[e.VM] = max(before[e.VM], applied[e.VM])
 			delete(applied, e.VM)
+		case timeline.DaemonReady:
+			if applied[e.VM] < before[e.VM] {
+				report.add(Reverted, e.VM, "serves revision %d after its predecessor applied %d", applied[e.VM], before[e.VM])
+			}
 		case timeline.RevisionApplied:
 			report.Applied++
 			if e.Revision < applied[e.VM] {
