--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
 
+# The integration scenarios come last and alone, since each starts a few dozen processes.
 test: build
-	$(GO) test $(PACKAGES)
+	$(GO) test $$($(GO) list $(PACKAGES) | grep -v /test/integration)
+	$(GO) test -count=1 ./test/integration
 
 fmt:
 	gofmt -w $$(git ls-files '*.go')
@@ -31,3 +33,9 @@
 BENCH_OUT ?= bench-results
 bench: build
 	bin/bench --out $(BENCH_OUT) --commit "$$(git describe --always --dirty)" $(BENCH_FLAGS)
+
+# Runs a random mix of faults for a bounded time; not part of CI.
+SEED ?= 1
+MINUTES ?= 5
+soak:
+	$(GO) test ./test/integration -count=1 -v -timeout 0 -scenario.soak $(MINUTES) -scenario.seed $(SEED)
