--- a/test/bench/mesh.go
+++ b/test/bench/mesh.go
@@ -61,6 +61,11 @@
 
 func serviceName(i int) string { return fmt.Sprintf("service-%02d", i%services) }
 
+// addressOf gives each VM its own loopback address. On a shared one, a port that
+// was found free can be taken before the daemon binds it, and one start of 100
+// daemons failed by that.
+func addressOf(i int) string { return fmt.Sprintf("127.7.0.%d", i+1) }
+
 func vmName(i int) string { return fmt.Sprintf("vm-%03d", i) }
 
 // startMesh starts n daemons and waits until all serve.
@@ -72,7 +77,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &mesh{fleet: f, ctx: ctx, cancel: cancel, http: &http.Client{Timeout: announceTimeout}}
 	for i := range n {
-		vm, err := f.AddVM(fleet.VMConfig{Name: vmName(i), Domain: domainOf(i), Region: regionOf(i)})
+		vm, err := f.AddVM(fleet.VMConfig{Name: vmName(i), Domain: domainOf(i), Region: regionOf(i), IP: addressOf(i)})
 		if err != nil {
 			m.close()
 			return nil, err
