Cut the allocations of a forwarded call in package proxy

The values of header fields that a call sets live in its own struct, the request of an attempt is made with its context instead of copied once more, its connection record and trace share one allocation, missing numeric headers reach no parser, and the id is made without fmt.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -81,7 +81,7 @@
 	x.version = choice.Version.Name
 	link := x.snapshot.links[choice.Target.Key()]
 	choice.Target.Begin()
-	a.result = link.send(x.ctx, x.outgoing(a, link))
+	a.result = link.send(x.outgoing(a, link))
 	x.learn(a)
 	if a.result.err != nil {
 		_ = a.body.Close()
@@ -92,22 +92,22 @@
 	return a
 }
 
-func (x *exchange) outgoing(a *attempt, l *link) *http.Request {
-	out := newRequest(x.r, l.address, x.source, a.body, addedHeaders)
-	h := out.Header
+func (x *exchange) outgoing(a *attempt, l *link) *sending {
+	out := newSending(x.ctx, x.r, l.address, x.source, a.body, addedHeaders)
+	h := out.request.Header
 	stripOwn(h)
-	setOne(h, RequestHeader, x.in.id)
-	setOne(h, RouteHeader, x.route.Name)
-	setOne(h, ServiceHeader, x.route.Service.Name)
-	setOne(h, VersionHeader, a.choice.Version.Name)
+	x.fields.set(h, RequestHeader, x.in.id)
+	x.fields.set(h, RouteHeader, x.route.Name)
+	x.fields.set(h, ServiceHeader, x.route.Service.Name)
+	x.fields.set(h, VersionHeader, a.choice.Version.Name)
 	if x.route.Class != model.Normal {
-		setOne(h, ClassHeader, string(x.route.Class))
+		x.fields.set(h, ClassHeader, string(x.route.Class))
 	}
 	if x.route.Once {
-		setOne(h, OnceHeader, "1")
+		x.fields.set(h, OnceHeader, "1")
 	}
-	setRemaining(h, time.Until(x.deadline))
-	setClock(h, x.o.config.Clock)
+	x.fields.setRemaining(h, time.Until(x.deadline))
+	x.fields.setClock(h, x.o.config.Clock)
 	x.expect(h)
 	return out
 }
@@ -119,8 +119,8 @@
 	if x.in.expects || fits {
 		return
 	}
-	setOne(h, "Expect", "100-continue")
-	setOne(h, hopExpectHeader, "1")
+	x.fields.set(h, "Expect", "100-continue")
+	x.fields.set(h, hopExpectHeader, "1")
 }
 
 // learn updates what is known of the target.
@@ -144,7 +144,7 @@
 	if load, err := strconv.ParseFloat(h.Get(LoadHeader), 64); err == nil {
 		target.Report(now, load)
 	}
-	if print, err := strconv.ParseUint(h.Get(CrashHeader), 16, 64); err == nil {
+	if print, ok := number(h, CrashHeader, 16, 64); ok {
 		x.o.strikes.Add(now, print)
 	}
 }
@@ -226,8 +226,8 @@
 // finish passes on the attempt's answer. An exhausted request was not retried
 // although its outcome allowed it; daemons upstream must not retry it either.
 func (x *exchange) finish(a *attempt, exhausted bool) {
-	setOne(x.w.Header(), RequestHeader, x.in.id)
-	setOne(x.w.Header(), VersionHeader, x.version)
+	x.fields.set(x.w.Header(), RequestHeader, x.in.id)
+	x.fields.set(x.w.Header(), VersionHeader, x.version)
 	if a.refused != nil {
 		a.refused.noRetry = a.refused.noRetry || exhausted
 		x.refuse(a.refused)
@@ -240,9 +240,9 @@
 	copyEndToEnd(h, response.Header)
 	stripOwn(h, OutcomeHeader, NoRetryHeader, CrashHeader, RequestHeader, VersionHeader)
 	if exhausted {
-		setOne(h, NoRetryHeader, "1")
+		x.fields.set(h, NoRetryHeader, "1")
 	}
-	setClock(h, x.o.config.Clock)
+	x.fields.setClock(h, x.o.config.Clock)
 	x.finished(answered(a.outcome()))
 	x.early.beforeAnswer(x.source)
 	result := relay(x.w, response, nil)
@@ -274,7 +274,7 @@
 	if a.refused == nil {
 		h := a.result.response.Header
 		observation.Failed = observation.Failed || a.result.response.StatusCode >= http.StatusInternalServerError
-		observation.CrashFingerprint, _ = strconv.ParseUint(h.Get(CrashHeader), 16, 64)
+		observation.CrashFingerprint, _ = number(h, CrashHeader, 16, 64)
 	}
 	x.o.config.Observer.Observe(observation)
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -39,6 +39,10 @@
 	maxDeadline = time.Hour
 	// loadDecimals is the precision of LoadHeader.
 	loadDecimals = 3
+	// loadTextBytes covers the value of LoadHeader; a longer one is allocated.
+	loadTextBytes = 16
+	// fieldValueRoom covers the fields that a call of one attempt sets.
+	fieldValueRoom = 10
 )
 
 // hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
@@ -214,21 +218,51 @@
 
 func setOne(h http.Header, name, value string) { h[name] = []string{value} }
 
-func setClock(h http.Header, c Clock) {
+// fieldValues holds the values of the header fields that one call sets. It is
+// part of the call's own struct, so that a field needs no allocation. A value
+// is never replaced: http.Transport may still read the headers of an attempt
+// that has failed.
+type fieldValues struct {
+	room [fieldValueRoom]string
+	used int
+}
+
+func (v *fieldValues) set(h http.Header, name, value string) {
+	if v.used == len(v.room) {
+		setOne(h, name, value)
+		return
+	}
+	v.room[v.used] = value
+	v.used++
+	h[name] = v.room[v.used-1 : v.used : v.used]
+}
+
+func (v *fieldValues) setClock(h http.Header, c Clock) {
 	if value := c.Tick(); value != 0 {
-		setOne(h, ClockHeader, strconv.FormatUint(value, 10))
+		v.set(h, ClockHeader, strconv.FormatUint(value, 10))
 	}
 }
 
+func (v *fieldValues) setRemaining(h http.Header, remaining time.Duration) {
+	ms := max(0, remaining.Milliseconds())
+	v.set(h, DeadlineHeader, strconv.FormatInt(ms, 10))
+}
+
 func sawClock(h http.Header, c Clock) {
-	if remote, err := strconv.ParseUint(h.Get(ClockHeader), 10, 63); err == nil {
+	if remote, ok := number(h, ClockHeader, 10, 63); ok {
 		c.Saw(remote)
 	}
 }
 
-func setRemaining(h http.Header, remaining time.Duration) {
-	ms := max(0, remaining.Milliseconds())
-	setOne(h, DeadlineHeader, strconv.FormatInt(ms, 10))
+// number returns the value of a header that holds a number. It leaves the
+// usual case, a missing header, to no parser: strconv allocates its errors.
+func number(h http.Header, name string, base, bits int) (uint64, bool) {
+	values := h[name]
+	if len(values) == 0 {
+		return 0, false
+	}
+	value, err := strconv.ParseUint(values[0], base, bits)
+	return value, err == nil
 }
 
 func classOf(h http.Header) model.Class {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -123,6 +123,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	deadline time.Time
+	fields   fieldValues
 }
 
 // prepare checks the request. It returns the answer to one that may not run.
@@ -209,12 +210,13 @@
 
 // setLoad reports the target's load and the daemon's clock with the answer.
 func (s *service) setLoad() {
-	setClock(s.w.Header(), s.n.config.Clock)
+	s.fields.setClock(s.w.Header(), s.n.config.Clock)
 	if s.served == nil {
 		return
 	}
-	load := strconv.FormatFloat(s.served.gate.load(), 'f', loadDecimals, 64)
-	setOne(s.w.Header(), LoadHeader, load)
+	var room [loadTextBytes]byte
+	load := strconv.AppendFloat(room[:0], s.served.gate.load(), 'f', loadDecimals, 64)
+	s.fields.set(s.w.Header(), LoadHeader, string(load))
 }
 
 func (s *service) finished(outcome Outcome) {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/binary"
+	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -129,6 +130,7 @@
 	defer o.config.Metrics.end(outboundSide)
 	x := &exchange{o: o, w: w, r: r, started: o.config.Now(), snapshot: o.current.Load(), cancel: func() {}}
 	x.early = early{w: w, r: r}
+	x.tried = x.triedRoom[:0]
 	defer x.end()
 	if refused := x.prepare(); refused != nil {
 		x.refuse(refused)
@@ -158,7 +160,10 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 	tried    []*routing.Target
-	version  string
+	// triedRoom is the storage of tried.
+	triedRoom [maxAttempts]*routing.Target
+	fields    fieldValues
+	version   string
 }
 
 // prepare checks the request. It returns the answer to one that may not run.
@@ -221,11 +226,16 @@
 	return refused
 }
 
+// idBytes is the size of a request id, which is written in hexadecimal.
+const idBytes = 8
+
 // newID makes a request id.
 func (o *Outbound) newID() string {
 	o.choosing.Lock()
 	defer o.choosing.Unlock()
-	return fmt.Sprintf("%016x", o.config.Random.Uint64())
+	var id [idBytes]byte
+	binary.BigEndian.PutUint64(id[:], o.config.Random.Uint64())
+	return hex.EncodeToString(id[:])
 }
 
 func (x *exchange) refuse(refused *refusal) {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -125,7 +125,7 @@
 	body := s.source.attempt()
 	defer body.Close()
 	begun := s.n.config.Now()
-	result := s.served.link.send(s.ctx, s.outgoing(body))
+	result := s.served.link.send(s.outgoing(body))
 	s.n.config.Metrics.firstByte(inboundSide, s.route, s.n.config.Now().Sub(begun))
 	if result.err != nil {
 		s.failed(result, request, held)
@@ -135,11 +135,12 @@
 	s.pass(result.response, request, held)
 }
 
-func (s *service) outgoing(body *attemptBody) *http.Request {
-	out := newRequest(s.r, s.served.link.address, s.source, body, 0)
-	stripOwn(out.Header, RequestHeader, RouteHeader, VersionHeader)
-	setRemaining(out.Header, time.Until(s.deadline))
-	setClock(out.Header, s.n.config.Clock)
+func (s *service) outgoing(body *attemptBody) *sending {
+	out := newSending(s.ctx, s.r, s.served.link.address, s.source, body, 0)
+	h := out.request.Header
+	stripOwn(h, RequestHeader, RouteHeader, VersionHeader)
+	s.fields.setRemaining(h, time.Until(s.deadline))
+	s.fields.setClock(h, s.n.config.Clock)
 	return out
 }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -136,33 +136,43 @@
 	refused bool
 }
 
+// sending is a request that goes out, with the record of its connection.
+type sending struct {
+	request *http.Request
+	record  sent
+	trace   httptrace.ClientTrace
+}
+
 // send carries out one round trip. It never sends the request a second time.
-func (l *link) send(ctx context.Context, r *http.Request) sendResult {
-	var record sent
-	trace := &httptrace.ClientTrace{GotConn: record.gotConn}
-	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := l.transport.RoundTrip(r)
+func (l *link) send(s *sending) sendResult {
+	response, err := l.transport.RoundTrip(s.request)
 	if err == nil {
 		return sendResult{response: response, wrote: true}
 	}
 	var dialed *dialError
-	wrote := record.any()
-	refused := errors.As(err, &dialed) && !wrote && ctx.Err() == nil
+	wrote := s.record.any()
+	refused := errors.As(err, &dialed) && !wrote && s.request.Context().Err() == nil
 	return sendResult{err: err, wrote: wrote, refused: refused}
 }
 
-// newRequest builds the request of one attempt. http.Transport repeats a
+// blank is copied to make requests with a context. Setting the context of a
+// finished request would copy it once more.
+var blank http.Request
+
+// newSending builds the request of one attempt. http.Transport repeats a
 // request by itself if its method is safe or if it has an idempotency key, and
 // if its body is nil or can be rewound. A non-nil body without GetBody and a
 // key in a spelling that http.Transport does not look for prevent that.
 // The number of headers that are added makes room for them in the header map.
-func newRequest(r *http.Request, address string, src *source, body *attemptBody, added int) *http.Request {
-	out := &http.Request{
-		Method: r.Method, URL: cloneURL(r, address), Host: r.Host,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header:        make(http.Header, len(r.Header)+added),
-		ContentLength: src.length,
-	}
+func newSending(ctx context.Context, r *http.Request, address string, src *source, body *attemptBody, added int) *sending {
+	s := &sending{}
+	s.trace.GotConn = s.record.gotConn
+	out := blank.WithContext(httptrace.WithClientTrace(ctx, &s.trace))
+	s.request = out
+	out.Method, out.URL, out.Host = r.Method, cloneURL(r, address), r.Host
+	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
+	out.Header = make(http.Header, len(r.Header)+added)
+	out.ContentLength = src.length
 	copyEndToEnd(out.Header, r.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		// http.Transport would add its own name.
@@ -180,7 +190,7 @@
 		out.Body = io.NopCloser(bytes.NewReader(nil))
 		out.TransferEncoding = []string{"identity"}
 	}
-	return out
+	return s
 }
 
 func hideKey(h http.Header, name, spelling string) {
