Keep the metrics of used labels and share the empty body

Profile: the look-up of metrics by label values takes 0.06 of 8.03 s of processor time in the benchmark; the empty body of a request without content takes three allocations on each side.

The empty body and its transfer encoding are shared, and the first attempt's reader is part of the source.

Ruled out: an empty body without WriteTo.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -36,6 +36,8 @@
 	kept     []byte
 	overflow bool
 	err      error
+	// first is the body of the first attempt, which most requests end with.
+	first attemptBody
 }
 
 // newSource returns the source of the request's body. Only the first limit
@@ -123,6 +125,10 @@
 	if s.overflow {
 		return nil
 	}
+	if s.first.source == nil {
+		s.first.source = s
+		return &s.first
+	}
 	return &attemptBody{source: s}
 }
 
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,8 +13,25 @@
 	inFlight *prometheus.GaugeVec
 	shed     *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+
+	// What follows keeps the metrics of labels that were used before.
+	requestsOf children[requestLabels, prometheus.Counter]
+	latencyOf  children[latencyLabels, prometheus.Observer]
+	outbound   prometheus.Gauge
+	inbound    prometheus.Gauge
+}
+
+// requestLabels are the labels of Metrics.requests.
+type requestLabels struct {
+	side    string
+	route   string
+	outcome Outcome
+	version string
 }
 
+// latencyLabels are the labels of Metrics.latency.
+type latencyLabels struct{ side, route string }
+
 // Sides of a daemon, in the label "side".
 const (
 	outboundSide = "outbound"
@@ -45,31 +62,47 @@
 		}, []string{"route"}),
 	}
 	r.MustRegister(m.requests, m.latency, m.inFlight, m.shed, m.retries)
+	m.outbound = m.inFlight.WithLabelValues(outboundSide)
+	m.inbound = m.inFlight.WithLabelValues(inboundSide)
 	return m
 }
 
+func (m *Metrics) gauge(side string) prometheus.Gauge {
+	if side == outboundSide {
+		return m.outbound
+	}
+	return m.inbound
+}
+
 func (m *Metrics) begin(side string) {
 	if m != nil {
-		m.inFlight.WithLabelValues(side).Inc()
+		m.gauge(side).Inc()
 	}
 }
 
 func (m *Metrics) end(side string) {
 	if m != nil {
-		m.inFlight.WithLabelValues(side).Dec()
+		m.gauge(side).Dec()
 	}
 }
 
 func (m *Metrics) finished(side, route string, outcome Outcome, version string) {
-	if m != nil {
-		m.requests.WithLabelValues(side, route, string(outcome), version).Inc()
+	if m == nil {
+		return
 	}
+	labels := requestLabels{side: side, route: route, outcome: outcome, version: version}
+	m.requestsOf.get(labels, func() prometheus.Counter {
+		return m.requests.WithLabelValues(side, route, string(outcome), version)
+	}).Inc()
 }
 
 func (m *Metrics) firstByte(side, route string, took time.Duration) {
-	if m != nil {
-		m.latency.WithLabelValues(side, route).Observe(took.Seconds())
+	if m == nil {
+		return
 	}
+	m.latencyOf.get(latencyLabels{side: side, route: route}, func() prometheus.Observer {
+		return m.latency.WithLabelValues(side, route)
+	}).Observe(took.Seconds())
 }
 
 func (m *Metrics) wasShed(class, reason string) {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -155,6 +154,19 @@
 	return sendResult{err: err, wrote: wrote, refused: refused}
 }
 
+// emptyBody is a body without content. Unlike http.NoBody, it keeps
+// http.Transport from repeating the request.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// WriteTo keeps io.Copy from allocating a buffer of 32 KiB.
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+
+// identity is shared by requests, which do not change it.
+var identity = []string{"identity"}
+
 // blank is copied to make requests with a context. Setting the context of a
 // finished request would copy it once more.
 var blank http.Request
@@ -187,8 +199,8 @@
 	case safeMethod(r.Method):
 		// "identity" keeps http.Transport from reading ahead in the body to
 		// learn whether it is empty; nothing of it is sent.
-		out.Body = io.NopCloser(bytes.NewReader(nil))
-		out.TransferEncoding = []string{"identity"}
+		out.Body = emptyBody{}
+		out.TransferEncoding = identity
 	}
 	return s
 }
