--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -53,6 +53,7 @@
 	a := &n.announce
 	self := n.self
 	self.Target = member.Target{}
+	self.State = member.Ready
 	body, err := proto.Marshal(self.ToWire())
 	if err != nil {
 		return
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -38,7 +38,7 @@
 		served[group{endpoints[i].Target.Service, endpoints[i].Target.Version}] = true
 	}
 	for _, e := range n.members.Lost() {
-		if e.Target.Service != "" && !served[group{e.Target.Service, e.Target.Version}] {
+		if e.InboundAddress != "" && e.Target.Service != "" && !served[group{e.Target.Service, e.Target.Version}] {
 			e.State = member.Ready
 			endpoints = append(endpoints, e)
 		}
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -159,6 +159,10 @@
 	t := &n.tree
 	candidates := member.Parents(n.withController(n.reachableMembers()), n.self, n.controller.vm)
 	for _, c := range candidates {
+		// A member that was first heard of while it was leaving has no address.
+		if c.PeerAddress == "" {
+			continue
+		}
 		if t.parent != nil && t.parent.vm == c.VM {
 			if n.rooted() {
 				return "", ""
--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -75,13 +75,37 @@
 	) > 0
 }
 
+// partial reports whether the entry came without addresses and target.
+func (e *Endpoint) partial() bool { return e.PeerAddress == "" }
+
+// fill takes over from an earlier entry of the same start what a partial
+// entry leaves out.
+func (e *Endpoint) fill(known *Endpoint) {
+	if !e.partial() || known.Incarnation != e.Incarnation {
+		return
+	}
+	e.Region = known.Region
+	e.PeerAddress = known.PeerAddress
+	e.InboundAddress = known.InboundAddress
+	e.AdminAddress = known.AdminAddress
+	e.Target = known.Target
+}
+
 // Serves reports whether the endpoint takes new work for the service.
 func (e *Endpoint) Serves(service string) bool {
 	return e.State == Ready && e.Target.Service == service
 }
 
-// ToWire encodes the endpoint. The target's own address stays on its VM.
+// ToWire encodes the endpoint. The target's own address stays on its VM. An
+// endpoint that takes no new work is sent without the rest: the receivers know
+// it already, and restarts make up most of the control bytes.
 func (e *Endpoint) ToWire() *wire.Endpoint {
+	if e.State >= Draining {
+		return &wire.Endpoint{
+			Vm: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
+			State: wire.EndpointState(e.State), Domain: e.Domain,
+		}
+	}
 	w := &wire.Endpoint{
 		Vm: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
 		State: wire.EndpointState(e.State), Domain: e.Domain, Region: e.Region,
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -42,6 +42,19 @@
 		Entry("a later start", endpoint("a", 3, 1, member.Ready), true),
 	)
 
+	It("keeps the addresses and the target of a member that is sent without them", func() {
+		full := endpoint("a", 2, 6, member.Ready)
+		full.PeerAddress, full.InboundAddress = "127.0.0.1:1", "127.0.0.1:2"
+		full.Target = member.Target{Service: "orders", Version: "v1"}
+		table.Merge(start, full)
+		leaving := full
+		leaving.Sequence, leaving.State = 7, member.Draining
+		received := member.FromWire(leaving.ToWire())
+		Expect(received.InboundAddress).To(BeEmpty())
+		table.Merge(start, received)
+		Expect(table.Live()).To(Equal([]member.Endpoint{leaving}))
+	})
+
 	It("keeps a delayed update from bringing back a member that left", func() {
 		table.Merge(start, endpoint("a", 2, 6, member.Gone))
 		Expect(table.Merge(start.Add(time.Minute), endpoint("a", 2, 5, member.Ready))).To(BeFalse())
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -35,6 +35,9 @@
 	if ok && !e.Newer(&known.endpoint) {
 		return false
 	}
+	if ok {
+		e.fill(&known.endpoint)
+	}
 	merged := &entry{endpoint: e}
 	if e.State >= Lost {
 		merged.ended = now
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,6 +19,8 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	up        atomic.Bool
+	// conn is set before up.
+	conn atomic.Pointer[countedConn]
 
 	mu      sync.Mutex
 	closing bool
@@ -107,10 +109,10 @@
 // serve calls the handler from this goroutine only, which keeps the calls in order.
 func (l *link) serve(p *pipe) {
 	context.AfterFunc(l.ctx, p.close)
+	l.conn.Store(p.conn)
 	l.up.Store(true)
 	var helpers sync.WaitGroup
 	helpers.Go(func() { l.write(p) })
-	helpers.Go(func() { l.watch(p) })
 	helpers.Go(func() { l.refuseStreams(p) })
 	if l.dialed() {
 		helpers.Go(func() { l.ping(p) })
@@ -200,31 +202,6 @@
 	}
 }
 
-// watch ends the link when the peer has been silent for too long.
-func (l *link) watch(p *pipe) {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	last := time.Now()
-	for {
-		select {
-		case <-ticker.C:
-		case <-l.ctx.Done():
-			return
-		}
-		now := time.Now()
-		// After a pause of this process, bytes of the peer may wait unread, and
-		// the dialing side has sent no ping to answer.
-		if now.Sub(last) > pauseLimit {
-			p.conn.touch()
-		}
-		last = now
-		if p.conn.silence() >= silenceLimit {
-			l.stop(fault.New(fault.Timeout, "peer was silent for %s", silenceLimit))
-			return
-		}
-	}
-}
-
 // refuseStreams ends the link when the peer opens a second stream.
 func (l *link) refuseStreams(p *pipe) {
 	if _, err := p.session.AcceptStream(); err == nil {
--- a/internal/peer/yamux.go
+++ b/internal/peer/yamux.go
@@ -37,6 +37,8 @@
 	lastID   LinkID
 	admitted *window
 	closed   bool
+	// done is closed by Close.
+	done chan struct{}
 }
 
 // New opens the listener and starts to accept links. It fails with
@@ -46,7 +48,7 @@
 		return nil, err
 	}
 	y := &Yamux{
-		config: config, counters: newCounters(), links: map[LinkID]*link{},
+		config: config, counters: newCounters(), links: map[LinkID]*link{}, done: make(chan struct{}),
 		admitted: newWindow(config.AcceptPerWindow, config.AcceptWindow),
 	}
 	if config.TLS != nil {
@@ -67,6 +69,7 @@
 			return nil, fault.Wrap(err, fault.Invalid, "register metrics of the transport")
 		}
 	}
+	go y.watch()
 	return y, nil
 }
 
@@ -151,6 +154,7 @@
 		return nil
 	}
 	y.closed = true
+	close(y.done)
 	for _, l := range y.links {
 		l.stop(nil)
 	}
