--- a/test/integration/controller_test.go
+++ b/test/integration/controller_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/admin"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/timeline"
 	"github.com/magnoliamount/magnoliamount/test/fleet"
 	"github.com/magnoliamount/magnoliamount/test/standin"
 )
@@ -72,6 +74,7 @@
 	w.accept(t)
 	w.waitProgress(t.Number, 10)
 	w.platformFaults(standin.Faults{Outage: true})
+	from := time.Now()
 	submitted := make(chan error, 1)
 	number := w.number()
 	go func() {
@@ -79,11 +82,29 @@
 		submitted <- err
 	}()
 	w.pause(w.between(8*time.Second, 12*time.Second))
+	w.expectStep(t.Number, from, time.Now())
 	w.platformFaults(healthyPlatform)
 	w.Expect(<-submitted).To(gomega.Succeed())
 	w.waitState(t.Number, "done")
 }
 
+// expectStep expects that the move went on in the time. Only the time lines of
+// daemons tell, because the platform holds the statements about tickets.
+func (w *world) expectStep(ticket uint64, from, to time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	events, err := w.client.Timeline(ctx, admin.TimelineFilter{Ticket: ticket})
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	steps := 0
+	for i := range events {
+		e := &events[i]
+		if e.Kind == timeline.StepApplied && e.At.After(from) && e.At.Before(to) {
+			steps++
+		}
+	}
+	w.Expect(steps).To(gomega.BeNumerically(">", 0), "steps during the outage")
+}
+
 // controllerFrozen pauses the controller past its lease during a move.
 func controllerFrozen(w *world) {
 	w.start(usual)
