--- a/internal/proxy/fields_test.go
+++ b/internal/proxy/fields_test.go
@@ -18,7 +18,7 @@
 	// and three attempts set more than it holds.
 	It("are complete on every attempt", func() {
 		ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-		m := newMesh(model.Route{Idempotent: true}, ok, ok, ok)
+		m := newMesh(model.Route{Class: model.Urgent}, ok, ok, ok)
 		DeferCleanup(m.close)
 		var mu sync.Mutex
 		var seen []http.Header
@@ -47,6 +47,7 @@
 			Expect(h[proxy.ServiceHeader]).To(Equal([]string{"order"}))
 			Expect(h[proxy.VersionHeader]).To(Equal([]string{"v1"}))
 			Expect(h[proxy.DeadlineHeader]).To(HaveExactElements(MatchRegexp(`^[0-9]+$`)))
+			Expect(h[proxy.ClassHeader]).To(Equal([]string{string(model.Urgent)}))
 			Expect(h["X-Own"]).To(Equal([]string{"mine"}))
 		}
 		Expect(answer.Header[proxy.RequestHeader]).To(Equal([]string{"id-1"}))
