Keep the outcome of every ticket that was open in an item of its own

Cause: a state remembers the newest 256 outcomes, and a ticket without one was shown as open, so an old ticket that was done looked open for ever. The transaction that appends an outcome now also writes outcome/N, and a ticket that supersedes another writes its outcome. Found by reading; the new test covers a superseded ticket and one that is taken back. Also: progress of a ended ticket, and the count of daemons that applied it only once it is in force.

--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -24,7 +24,9 @@
 	Reason string `json:"reason,omitempty"`
 	// InForce is true when every reachable daemon has applied the revision.
 	InForce bool `json:"in_force"`
-	// Applied and Members count daemons; Unreachable names those not counted.
+	// Applied counts the daemons that have applied the revision, once it is in
+	// force. Members counts the daemons of the newest statement; Unreachable
+	// names those that it does not count.
 	Applied     uint32   `json:"applied"`
 	Members     uint32   `json:"members"`
 	Unreachable []string `json:"unreachable,omitempty"`
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -365,3 +365,25 @@
 	}
 	return []move.Sample{sample(false, 0), sample(true, 120)}
 }
+
+var _ = It("keeps the outcome of every ticket that was open, also when the state has forgotten it", func() {
+	m := newMesh(3)
+	m.grid(1, 2)
+	m.run(5 * time.Second)
+	Expect(m.submit(m.daemons[0], 1, ticket(1)).Err).NotTo(HaveOccurred())
+	Expect(m.submit(m.daemons[0], 2, moving(2, "service-1", m.now.Add(time.Minute))).Err).NotTo(HaveOccurred())
+	superseding := moving(3, "service-1", m.now.Add(10*time.Second))
+	superseding.Supersedes = 2
+	Expect(m.submit(m.daemons[1], 3, superseding).Err).NotTo(HaveOccurred())
+	m.run(time.Minute)
+	Expect(m.daemons[0].node.View().State.Open).To(BeEmpty())
+	results := map[uint64]model.Result{}
+	for number := range uint64(4) {
+		if item, ok := m.table.items[core.OutcomeKey(number)]; ok {
+			outcome, err := wire.DecodeOutcome(item.Body)
+			Expect(err).NotTo(HaveOccurred())
+			results[outcome.Ticket] = outcome.Result
+		}
+	}
+	Expect(results).To(Equal(map[uint64]model.Result{2: model.Superseded, 3: model.TakenBack}))
+})
--- a/internal/core/logread.go
+++ b/internal/core/logread.go
@@ -156,6 +156,23 @@
 	n.publishDue = true
 }
 
+// OutcomeKey names the table item of a ticket's recorded outcome. It exists for
+// tickets that were open; a state keeps the newest outcomes only.
+func OutcomeKey(number uint64) platform.Key {
+	return platform.Key{Partition: "outcome", Sort: fmt.Sprintf("%020d", number)}
+}
+
+// outcomeWrite keeps an outcome for good. It is part of the transaction that
+// appends the record, so that the two cannot differ.
+func outcomeWrite(o model.Outcome, revision uint64) (platform.Write, error) {
+	body, err := wire.EncodeOutcome(o)
+	if err != nil {
+		return platform.Write{}, err
+	}
+	item := platform.Item{Key: OutcomeKey(o.Ticket), Rev: revision, Body: body}
+	return platform.Write{Op: platform.Put, Condition: platform.IfAbsent, Item: item}, nil
+}
+
 // applyRecords applies records in order and passes them on. It reports
 // whether all of them are now part of the state.
 func (n *Node) applyRecords(records []*model.Record) bool {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -179,10 +179,14 @@
 	if err != nil {
 		return
 	}
+	kept, err := outcomeWrite(outcome, record.Revision)
+	if err != nil {
+		return
+	}
 	check := platform.Write{Op: platform.Check, Condition: platform.IfRev, WantRev: n.lease.epoch, Item: platform.Item{Key: epochKey}}
 	n.moves.ending[outcome.Ticket] = true
 	epoch := n.lease.epoch
-	n.call(Call{Transact: append(writes, check)}, func(r PlatformResult) {
+	n.call(Call{Transact: append(writes, kept, check)}, func(r PlatformResult) {
 		if n.lease.held && n.lease.epoch == epoch {
 			delete(n.moves.ending, outcome.Ticket)
 		}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -130,6 +130,14 @@
 		n.refuse(s, err)
 		return
 	}
+	if s.ticket.Supersedes != 0 {
+		kept, err := outcomeWrite(model.Outcome{Ticket: s.ticket.Supersedes, Result: model.Superseded, At: record.At}, record.Revision)
+		if err != nil {
+			n.refuse(s, err)
+			return
+		}
+		writes = append(writes, kept)
+	}
 	number := platform.Item{Key: TicketKey(s.ticket.Number), Rev: record.Revision, Body: []byte(s.digest)}
 	writes = append(writes, platform.Write{Op: platform.Put, Condition: platform.IfAbsent, Item: number})
 	s.started = true
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -9,6 +9,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/core"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/move"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
 	"github.com/magnoliamount/magnoliamount/internal/wire"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return admin.TicketStatus{}, err
 	}
-	return d.ticketStatus(ctx, number, item), nil
+	return d.ticketStatus(ctx, number, item)
 }
 
 // Tickets returns the newest tickets first.
@@ -50,22 +51,32 @@
 	}
 	var tickets []admin.TicketStatus
 	for i, item := range slices.Backward(items) {
-		tickets = append(tickets, d.ticketStatus(ctx, after+uint64(i)+1, item))
+		status, err := d.ticketStatus(ctx, after+uint64(i)+1, item)
+		if err != nil {
+			return nil, err
+		}
+		tickets = append(tickets, status)
 	}
 	return tickets, nil
 }
 
-func (d *Daemon) ticketStatus(ctx context.Context, number uint64, item platform.Item) admin.TicketStatus {
+func (d *Daemon) ticketStatus(ctx context.Context, number uint64, item platform.Item) (admin.TicketStatus, error) {
 	view := d.loop.view()
 	status := describeTicket(view, number)
 	status.Revision = item.Rev
 	status.Digest = string(item.Body)
 	status.InForce = view.Statement.Revision >= item.Rev
+	if status.InForce {
+		status.Applied = status.Members
+	}
 	if record := d.acceptance(ctx, item.Rev); record != nil {
 		status.AcceptedAt = record.At
 		status.Note = record.Ticket.Note
 	}
-	return status
+	if status.State != stateOpen && status.EndedAt == nil {
+		return status, d.olderOutcome(ctx, &status)
+	}
+	return status, nil
 }
 
 // acceptance reads the record that accepted a ticket, or returns nil.
@@ -81,20 +92,56 @@
 	return record
 }
 
-// describeTicket says what the node knows about a ticket.
+// describeTicket says what the node knows about a ticket. Without an open
+// ticket and a kept outcome the ticket is taken for done, which is right for
+// tickets without moves; olderOutcome corrects it for the others.
 func describeTicket(view core.Snapshot, number uint64) admin.TicketStatus {
 	status := admin.TicketStatus{
-		Number: number, State: "open", Members: view.Statement.Members, Applied: view.Statement.Members,
+		Number: number, State: stateOpen, Members: view.Statement.Members,
 		Unreachable: view.Statement.Unreachable, Progress: view.Progress[number], Reason: view.Holding[number],
 	}
-	if outcome, ended := view.State.Outcomes[number]; ended {
-		status.State = string(outcome.Result)
-		status.Reason = outcome.Reason
-		status.EndedAt = &outcome.At
+	outcome, ended := view.State.Outcomes[number]
+	if !ended && view.State.Open[number] == nil && number <= view.State.LastTicket {
+		outcome = model.Outcome{Ticket: number, Result: model.Done}
+		ended = true
+	}
+	if ended {
+		setOutcome(&status, outcome)
 	}
 	return status
 }
 
+// stateOpen is the state of a ticket without an outcome.
+const stateOpen = "open"
+
+func setOutcome(status *admin.TicketStatus, outcome model.Outcome) {
+	status.State = string(outcome.Result)
+	status.Reason = outcome.Reason
+	status.Progress = 0
+	if outcome.Result == model.Done {
+		status.Progress = move.FullProgress
+	}
+	if !outcome.At.IsZero() {
+		status.EndedAt = &outcome.At
+	}
+}
+
+// olderOutcome reads the outcome of a ticket that the state no longer keeps.
+func (d *Daemon) olderOutcome(ctx context.Context, status *admin.TicketStatus) error {
+	item, err := d.store.Table.Get(ctx, core.OutcomeKey(status.Number))
+	if fault.Is(err, fault.NotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	outcome, err := wire.DecodeOutcome(item.Body)
+	if err == nil {
+		setOutcome(status, outcome)
+	}
+	return err
+}
+
 // State returns the configuration that the daemon has applied.
 func (d *Daemon) State() *model.State { return d.loop.view().State }
 
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/core"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/peer"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/wire"
@@ -206,7 +207,7 @@
 	case l.views <- answer:
 		return <-answer
 	case <-l.ctx.Done():
-		return core.Snapshot{}
+		return core.Snapshot{State: model.NewState()}
 	}
 }
 
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -48,6 +48,24 @@
 	return encoded, nil
 }
 
+// EncodeOutcome returns the bytes of an outcome.
+func EncodeOutcome(o model.Outcome) ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(outcomeToWire(o))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode the outcome of ticket %d", o.Ticket)
+	}
+	return encoded, nil
+}
+
+// DecodeOutcome reads the bytes of an outcome.
+func DecodeOutcome(encoded []byte) (model.Outcome, error) {
+	var w Outcome
+	if err := proto.Unmarshal(encoded, &w); err != nil {
+		return model.Outcome{}, fault.Wrap(err, fault.Protocol, "decode outcome")
+	}
+	return outcomeFromWire(&w), nil
+}
+
 // EncodeState returns a compressed state.
 func EncodeState(s *model.State) ([]byte, error) {
 	w := &State{Revision: s.Revision, LastTicket: s.LastTicket}
