Wait for the release of a claim before a once request is retried elsewhere

Cause: when a target refuses the connection after the claim was written, the inbound daemon releases the claim in the background and answers not-run; the retry at another daemon came before the release and got 409 unknown, although nothing had run. Found by reading. Ruled out: a wait at the inbound daemon, which would hold a slot of the dead target.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -20,6 +20,9 @@
 	// answerGrace is how long the outbound proxy waits past the deadline for
 	// the inbound daemon's statement on whether the request ran.
 	answerGrace = 25 * time.Millisecond
+	// releasePause is above the time in which a claim is released while the
+	// platform answers as usual.
+	releasePause = 60 * time.Millisecond
 	// discardBytes bounds what is read of an answer that is not passed on, in
 	// order to use its connection again.
 	discardBytes = 16 << 10
@@ -58,11 +61,25 @@
 		}
 		x.inDoubt = x.inDoubt || a.outcome() == Unknown
 		x.drop(a)
+		x.awaitRelease()
 		x.o.config.Metrics.retried(x.route.Name)
 		choice = next
 	}
 }
 
+// awaitRelease gives the daemon of the last attempt time to release the claim
+// of a once request that did not run. The next attempt would otherwise find
+// the claim held and could not tell that nothing has run.
+func (x *exchange) awaitRelease() {
+	if !x.route.Once {
+		return
+	}
+	select {
+	case <-time.After(releasePause):
+	case <-x.ctx.Done():
+	}
+}
+
 func (x *exchange) first() (routing.Choice, bool) {
 	x.o.choosing.Lock()
 	defer x.o.choosing.Unlock()
--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -201,6 +201,8 @@
 	answers  map[once.Key]once.Answer
 	digests  map[string]bool
 	released int
+	// releaseDelay is how long a release takes to reach the table.
+	releaseDelay time.Duration
 }
 
 func newClaims() *claims {
@@ -225,9 +227,13 @@
 }
 
 func (c *claims) Release(key once.Key, _ string) {
+	time.AfterFunc(c.releaseDelay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.held, key)
+	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.held, key)
 	c.released++
 }
 
