Give the metrics test a slot for each of its requests

The test was wrong: 40 requests at once against 10 slots and a queue of 20 shed some of them when they arrive close enough together (37 of 40 answered in a fresh clone). What it counts is as strict as before.

--- a/internal/proxy/metrics_test.go
+++ b/internal/proxy/metrics_test.go
@@ -43,6 +43,9 @@
 		m := newMesh(model.Route{}, ok)
 		DeferCleanup(m.close)
 		const requests = 40
+		// Fewer slots would shed some of the requests, by chance.
+		m.slots = requests
+		m.update()
 		var group sync.WaitGroup
 		for range requests {
 			group.Go(func() {
