Do not quarantine frequent requests that were in flight when a target crashed

Cause: every request in flight gets a strike when its target dies. Ruled out: the version (its move was done) and the targets (no request reached them). A daemon now remembers for 30 to 60 s which requests its target has answered and does not strike them; the outbound daemon is told so by a header.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -27,6 +27,9 @@
 	refused bool
 	// crash is the fingerprint of the request if the target died with it.
 	crash uint64
+	// bystander is set when a target has answered the same request lately, so
+	// that it did not cause the crash.
+	bystander bool
 }
 
 func notRun(status int, err error) *refusal {
@@ -75,6 +78,9 @@
 	}
 	if a.crash != 0 {
 		setOne(h, CrashHeader, strconv.FormatUint(a.crash, 16))
+		if a.bystander {
+			setOne(h, bystanderHeader, "1")
+		}
 	}
 	w.WriteHeader(a.status)
 	// A caller that has gone away does not need the body.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -165,7 +165,7 @@
 	if load, err := strconv.ParseFloat(h.Get(LoadHeader), 64); err == nil {
 		target.Report(now, load)
 	}
-	if print, ok := number(h, CrashHeader, 16, 64); ok {
+	if print, ok := number(h, CrashHeader, 16, 64); ok && h.Get(bystanderHeader) == "" {
 		x.o.strikes.Add(now, print)
 	}
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -24,6 +24,9 @@
 	OnceHeader = "Magnoliamount-Once"
 	// hopExpectHeader is "1" when the outbound daemon added Expect by itself.
 	hopExpectHeader = "Magnoliamount-Hop-Expect"
+	// bystanderHeader is "1" beside CrashHeader on the answer to a request that
+	// was in flight by chance when the target died.
+	bystanderHeader = "Magnoliamount-Bystander"
 	// refusedHeader is "1" on an answer of a daemon whose target takes no
 	// requests, so that the outbound daemon leaves the target out for a while.
 	refusedHeader = "Magnoliamount-Refused"
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -21,6 +21,7 @@
 	strikes *routing.Strikes
 	flow    *flow
 	running *running
+	proven  *proven
 	current atomic.Pointer[served]
 	setting sync.Mutex
 }
@@ -44,6 +45,7 @@
 		strikes: routing.NewStrikes(),
 		flow:    newFlow(),
 		running: newRunning(),
+		proven:  newProven(),
 	}
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -152,12 +152,16 @@
 		held.release()
 	} else if refused.status != http.StatusGatewayTimeout {
 		refused.crash = s.crashed(request)
+		refused.bystander = refused.crash != 0 && s.n.proven.has(s.n.config.Now(), refused.crash)
 	}
 	s.refuse(refused)
 }
 
 func (s *service) crashed(request *run) uint64 {
 	return s.n.running.connectionDied(request, func(print uint64) {
+		if s.n.proven.has(s.n.config.Now(), print) {
+			return
+		}
 		s.n.strikes.Add(s.n.config.Now(), print)
 		s.n.config.Observer.Strike(print)
 	})
@@ -180,6 +184,9 @@
 	if result.upstream != nil && s.ctx.Err() == nil {
 		s.crashed(request)
 	}
+	if result.upstream == nil {
+		s.n.proven.add(s.n.config.Now(), s.fingerprint())
+	}
 	if result.upstream == nil && (result.caller == nil || kept.wanted()) {
 		held.finish(response, kept)
 	}
