Read short answers whole before they are passed on

Cause: a connection that broke within an answer, after its status had been passed on, cut the answer at the caller. The same happened when a target died within a short answer.

Ruled out: the claim path and the checker. The caller's record shows a connection that ended within the body of an answer of known length.

Answers of known length up to 32 KiB are read whole by both daemons. A break within them is a failed attempt now: it is retried if the request is idempotent, has the outcome "unknown" otherwise, and counts as a failure of its version, which it did not before. Longer answers and those of unknown length are still passed on as they come and are cut where they broke.

--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -158,6 +158,9 @@
 func (l *link) send(s *sending) sendResult {
 	response, err := l.transport.RoundTrip(s.request)
 	if err == nil {
+		if err := gather(response); err != nil {
+			return sendResult{err: err, wrote: true}
+		}
 		return sendResult{response: response, wrote: true}
 	}
 	var dialed *dialError
