Prove a revision in an outage only while no domain is out of reach

Cause: a controller that was replaced while it could not reach the platform went on answering root probes with its old revision. A daemon of the other side that restarted in a following outage and attached to this controller became ready with revision 1 after it had served revision 2.

Ruled out: the check of epochs. The restarted daemon has forgotten the newer epoch, and no member that knows it is in reach of the old controller.

--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -142,6 +142,7 @@
 	l.epoch = epoch
 	l.renewed = started
 	l.nextTry = started.Add(n.cfg.Timings.LeaseRenew)
+	n.proofs.settle(n.members.All())
 	n.emit(timeline.LeaseTaken, func(e *timeline.Event) { e.Epoch = epoch })
 	n.learnController(controllerInfo{vm: n.cfg.VM, epoch: epoch, address: n.cfg.PeerAddress})
 	n.pollLog()
@@ -159,6 +160,7 @@
 		case r.Err == nil:
 			l.rev++
 			l.renewed = started
+			n.proofs.settle(n.members.All())
 		case fault.Is(r.Err, fault.ConditionFailed), fault.Is(r.Err, fault.UnknownOutcome):
 			n.verifyLease()
 		}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -56,6 +56,7 @@
 	calls      calls
 	announce   announcement
 	ready      readiness
+	proofs     proofs
 	statement  statement
 
 	publishDue bool
@@ -90,6 +91,7 @@
 	n.moves.init()
 	n.tree.init(now)
 	n.calls.init()
+	n.proofs.init()
 	n.members.Merge(now, n.self)
 	return n
 }
@@ -130,6 +132,7 @@
 func (n *Node) tick() {
 	n.tickAnnouncement()
 	n.tickReadiness()
+	n.answerProbes()
 	n.tickTree()
 	n.tickLease()
 	n.tickLog()
--- a/internal/core/readiness.go
+++ b/internal/core/readiness.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
-	"github.com/magnoliamount/magnoliamount/internal/peer"
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
 	"github.com/magnoliamount/magnoliamount/internal/wire"
 )
@@ -70,43 +69,14 @@
 	n.publishDue = true
 }
 
+// probeRoot asks the controller for its revision. All probes of a start have
+// one nonce, since any answer after the start will do.
 func (n *Node) probeRoot() {
 	if !n.calls.down || n.tree.parent == nil {
 		return
 	}
-	n.ready.nonce = n.cfg.Rand.Uint64()
-	n.sendUp(&wire.Frame{Body: &wire.Frame_RootProbe{RootProbe: &wire.RootProbe{Nonce: n.ready.nonce}}})
-}
-
-// probeReceived answers a child's probe at the controller and passes it up
-// elsewhere.
-func (n *Node) probeReceived(link peer.LinkID, probe *wire.RootProbe) {
-	if n.isController() {
-		proof := &wire.RootProof{Nonce: probe.GetNonce(), Epoch: n.lease.epoch, Revision: n.state.Revision}
-		n.send(link, &wire.Frame{Body: &wire.Frame_RootProof{RootProof: proof}})
-		return
-	}
-	if len(n.tree.probes) >= maxProbes {
-		clear(n.tree.probes)
-	}
-	n.tree.probes[probe.GetNonce()] = link
-	n.sendUp(&wire.Frame{Body: &wire.Frame_RootProbe{RootProbe: probe}})
-}
-
-func (n *Node) proofReceived(proof *wire.RootProof) {
-	if proof.GetEpoch() < n.controller.epoch {
-		return
+	if n.ready.nonce == 0 {
+		n.ready.nonce = n.cfg.Rand.Uint64()
 	}
-	if proof.GetNonce() == n.ready.nonce && n.ready.nonce != 0 {
-		n.setFloor(proof.GetRevision())
-	}
-	link, ok := n.tree.probes[proof.GetNonce()]
-	if !ok {
-		return
-	}
-	delete(n.tree.probes, proof.GetNonce())
-	n.send(link, &wire.Frame{Body: &wire.Frame_RootProof{RootProof: proof}})
+	n.sendUp(&wire.Frame{Body: &wire.Frame_RootProbe{RootProbe: &wire.RootProbe{Nonce: n.ready.nonce}}})
 }
-
-// maxProbes bounds the probes that a relay remembers.
-const maxProbes = 1024
