Let a controller that cannot renew its lease look for its successor

Cause: after a cut in which the other side elected a new controller, and with the platform down since, nothing told the old controller that it was replaced. Both trees stayed apart after the cut had healed, and a ticket that the new controller had distributed was not in force on the old one's side until the platform was back.

Ruled out: a search by ordinary members. Those of the old tree have a live path and a controller, and more dials by all of them would cost bytes in every outage.

Before: 15 s after the cut healed the old side still served revision 1. After: all serve revision 2 (proof_test.go).

--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -87,4 +87,14 @@
 		}
 		m.expectRevision(1)
 	})
+
+	It("comes into force once the cut has healed, although the platform is still down", func() {
+		old := m.controller()
+		m.split(old, func(*fakeDaemon) bool { return false })
+		m.run(60 * time.Second)
+		m.cut = func(*fakeDaemon, *fakeDaemon) bool { return false }
+		m.run(15 * time.Second)
+		m.expectRevision(2)
+		Expect(old.node.View().IsRoot).To(BeFalse())
+	})
 })
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -25,11 +25,13 @@
 	accepted map[peer.LinkID]time.Time
 	// suspects are members that could not be reached, and until when they are
 	// left out.
-	suspects      map[string]time.Time
-	nextLink      peer.LinkID
-	nextDial      time.Time
-	backoff       time.Duration
-	nextSeed      int
+	suspects map[string]time.Time
+	nextLink peer.LinkID
+	nextDial time.Time
+	backoff  time.Duration
+	nextSeed int
+	// nextLost counts the dials to lost members.
+	nextLost      int
 	unrootedSince time.Time
 	nextHeartbeat time.Time
 
@@ -131,7 +133,11 @@
 // a path to the controller, so that a change does not cut the subtree off.
 func (n *Node) seekParent() {
 	t := &n.tree
-	if n.stopping || n.isController() || t.dialing != nil || n.now.Before(t.nextDial) {
+	if n.stopping || t.dialing != nil || n.now.Before(t.nextDial) {
+		return
+	}
+	if n.isController() {
+		n.seekSuccessor()
 		return
 	}
 	vm, address := n.chooseParent()
@@ -139,9 +145,14 @@
 		n.seekLater()
 		return
 	}
+	n.dial(member.Endpoint{VM: vm, PeerAddress: address})
+}
+
+func (n *Node) dial(to member.Endpoint) {
+	t := &n.tree
 	t.nextLink++
-	t.dialing = &parentLink{id: t.nextLink, vm: vm, address: address, started: n.now}
-	n.effects = append(n.effects, Dial{Link: t.nextLink, Address: address})
+	t.dialing = &parentLink{id: t.nextLink, vm: to.VM, address: to.PeerAddress, started: n.now}
+	n.effects = append(n.effects, Dial{Link: t.nextLink, Address: to.PeerAddress})
 }
 
 // seekLater delays the next search of a node that has the best parent. Ranking
