Count an answer that breaks on the way as a failure of its version

Cause: the judge's sample of a request was taken at the answer's headers, so a version whose long answers break looked good.

Ruled out: taking the sample at the answer's end instead, because a slow caller would hold back the evidence for as long as it reads.

Before: a broken answer of 200 kB gave one good sample. After: one good and one failed sample. Answers that end at the request's own deadline do not count, since a slow caller can cause them.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -271,6 +271,9 @@
 	x.finished(answered(a.outcome()))
 	x.early.beforeAnswer(x.source)
 	result := relay(x.w, response, nil)
+	if result.upstream != nil && x.ctx.Err() == nil {
+		x.observeBroken(a)
+	}
 	if result.upstream != nil || result.caller != nil {
 		cut()
 	}
@@ -303,15 +306,10 @@
 func (x *exchange) observe(a *attempt) {
 	took := x.o.config.Now().Sub(a.started)
 	x.o.config.Metrics.firstByte(outboundSide, x.route.Name, took)
-	ticket := x.route.Service.Ticket
-	if ticket == 0 || x.route.Version != "" || !a.ran() || x.r.Context().Err() != nil {
+	if !a.ran() || !x.judged() {
 		return
 	}
-	observation := move.Observation{
-		Key:     move.SampleKey{Ticket: ticket, Route: x.route.Name, Service: x.route.Service.Name, New: a.choice.Version.New},
-		Latency: took,
-		Failed:  a.outcome() == Unknown,
-	}
+	observation := move.Observation{Key: x.sampleKey(a), Latency: took, Failed: a.outcome() == Unknown}
 	if a.refused == nil {
 		h := a.result.response.Header
 		observation.Failed = observation.Failed || a.result.response.StatusCode >= http.StatusInternalServerError
@@ -319,3 +317,25 @@
 	}
 	x.o.config.Observer.Observe(observation)
 }
+
+// observeBroken reports an answer that broke after its status was passed on.
+// The attempt was reported at its headers already, since an answer can take
+// long, so it counts twice; a failure that the judge misses would be worse.
+func (x *exchange) observeBroken(a *attempt) {
+	if !x.judged() {
+		return
+	}
+	took := x.o.config.Now().Sub(a.started)
+	x.o.config.Observer.Observe(move.Observation{Key: x.sampleKey(a), Latency: took, Failed: true})
+}
+
+// judged reports whether the request counts for an open move. A caller that
+// has gone away says nothing about the version.
+func (x *exchange) judged() bool {
+	return x.route.Service.Ticket != 0 && x.route.Version == "" && x.r.Context().Err() == nil
+}
+
+func (x *exchange) sampleKey(a *attempt) move.SampleKey {
+	service := x.route.Service
+	return move.SampleKey{Ticket: service.Ticket, Route: x.route.Name, Service: service.Name, New: a.choice.Version.New}
+}
--- a/internal/proxy/gather_test.go
+++ b/internal/proxy/gather_test.go
@@ -69,3 +69,17 @@
 	Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	Expect(len(body)).To(BeNumerically("<=", length/2))
 })
+
+// Guards against a version whose long answers break and that is judged by
+// their headers only.
+var _ = It("counts a long answer that breaks as a failure of its version", func() {
+	m := newMesh(model.Route{}, &counter{}, &counter{serve: breakAnswer(200_000)})
+	DeferCleanup(m.close)
+	m.moveTo(1000)
+	response, err := m.client.Do(m.request("GET", "/", ""))
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(response.Body)
+	Expect(err).To(HaveOccurred())
+	_ = response.Body.Close()
+	Eventually(m.observer.seen).Should(ContainElement(HaveField("Failed", true)))
+})
