Add a command that deletes old claims

Cause: claims of at-most-once requests stay in the table until somebody deletes them, and the documentation left it to the operator to write the tool.

Ruled out: deletion by the daemons and a time-to-live attribute. Only the operator knows how long callers repeat a request; docs/platform.md has the options.

Ages below 24 h are refused.

--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -38,8 +38,9 @@
 		Stderr:  os.Stderr,
 		Now:     time.Now,
 
-		RunDaemon: runDaemon,
-		Replay:    runReplay,
+		RunDaemon:    runDaemon,
+		Replay:       runReplay,
+		OpenPlatform: daemon.OpenPlatform,
 	})
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/settings"
 )
 
@@ -21,9 +22,11 @@
 	RunDaemon func(ctx context.Context, s *settings.Settings) error
 	// Replay runs the replay command with its arguments.
 	Replay func(ctx context.Context, args []string, out io.Writer) error
-	Stdin  io.Reader
-	Stdout io.Writer
-	Stderr io.Writer
+	// OpenPlatform connects the commands that work on the platform itself.
+	OpenPlatform func(s *settings.Settings) (*platform.Store, error)
+	Stdin        io.Reader
+	Stdout       io.Writer
+	Stderr       io.Writer
 	// Now is the clock that resolves relative finish times.
 	Now func() time.Time
 }
@@ -55,6 +58,7 @@
 		Commands: []*cli.Command{
 			a.daemonCommand(),
 			a.ticketCommand(),
+			a.claimsCommand(),
 			a.statusCommand(),
 			a.timelineCommand(),
 			a.settingsCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -21,6 +21,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/cli"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/settings"
 	"github.com/magnoliamount/magnoliamount/internal/ticketfile"
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
@@ -248,6 +249,14 @@
 		Expect(stdout.String()).To(ContainSubstring("revision-in-force"))
 	})
 
+	// Guards against claims that are deleted while callers repeat their requests.
+	It("refuses to prune claims without an age or with one below a day", func() {
+		config.OpenPlatform = func(*settings.Settings) (*platform.Store, error) { return &platform.Store{}, nil }
+		Expect(run("claims", "prune", "--config", example)).To(Equal(cli.ExitUsage))
+		Expect(run("claims", "prune", "--config", example, "--older-than", "23h")).To(Equal(cli.ExitUsage))
+		Expect(stderr.String()).To(ContainSubstring("24h"))
+	})
+
 	It("runs the daemon with checked settings and passes its failure on", func() {
 		var got *settings.Settings
 		config.RunDaemon = func(_ context.Context, s *settings.Settings) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,12 +79,18 @@
 	return d.stop(err)
 }
 
-func newDaemon(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
-	store, err := platform.NewAWS(platform.AWSConfig{
+// OpenPlatform returns the platform that the settings name. It opens no
+// connection. It fails with fault.Invalid when a setting is missing.
+func OpenPlatform(s *settings.Settings) (*platform.Store, error) {
+	return platform.NewAWS(platform.AWSConfig{
 		Region: s.Platform.Region, TableEndpoint: s.Platform.TableEndpoint, Table: s.Platform.Table,
 		ObjectsEndpoint: s.Platform.ObjectEndpoint, Bucket: s.Platform.Bucket,
 		AccessKey: s.Platform.AccessKey, SecretKey: s.Platform.SecretKey, Timeout: s.Platform.Timeout,
 	})
+}
+
+func newDaemon(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
+	store, err := OpenPlatform(s)
 	if err != nil {
 		return nil, err
 	}
