Choose versions by an even sequence, so that chance adds nothing to a share

The daemons and the replay now draw from multiples of the golden ratio, started at random per daemon and route. A fixed period was ruled out, because it keeps step with callers that send kinds of requests in turn; a start at zero, because many daemons with little traffic would all give no evidence for 20 requests each.

The test of the recorded set now demands 5% instead of 5.5%.

--- a/internal/replay/daemons.go
+++ b/internal/replay/daemons.go
@@ -20,6 +20,8 @@
 	stopAt    int64
 	// pending holds observations by the tick at which the request finishes.
 	pending map[int64][]move.Observation
+	// draws chooses the versions of each route.
+	draws map[*route]*move.Draw
 }
 
 type delivery struct {
@@ -34,6 +36,7 @@
 		targets:   move.NewTargetWatch(ticket, false),
 		stopAt:    -1,
 		pending:   map[int64][]move.Observation{},
+		draws:     map[*route]*move.Draw{},
 	}
 }
 
@@ -58,6 +61,16 @@
 	return float64(d.step.Permille) / move.FullProgress
 }
 
+// picksNew chooses the version of a request of the route as the router does.
+func (d *daemon) picksNew(rng *rand.Rand, rt *route) bool {
+	draw, ok := d.draws[rt]
+	if !ok {
+		draw = move.NewDraw(rng.Uint64())
+		d.draws[rt] = draw
+	}
+	return draw.Next() < d.share()
+}
+
 // finish counts the requests that finish at now.
 func (d *daemon) finish(now int64) {
 	for _, o := range d.pending[now] {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -37,8 +37,7 @@
 
 var _ = Describe("the recorded set", func() {
 	// Guards against a change of judge or planner that takes back a good
-	// version, lets a bad one pass, or exposes an unproved one. A share of
-	// random requests may lie above 5% by chance, here by at most a tenth.
+	// version, lets a bad one pass, or exposes an unproved one.
 	It("ends every move rightly", func() {
 		code, out := run("-json", recorded)
 		var report replay.Report
@@ -49,8 +48,8 @@
 		Expect(code).To(Equal(replay.ExitOK))
 		Expect(report.Sequential.Good).To(Equal(60))
 		Expect(report.Sequential.Bad).To(Equal(80))
-		Expect(report.Sequential.MaxUnprovedShare).To(BeNumerically("<=", 0.055))
-		Expect(report.Sequential.StoppedInGoal).To(BeNumerically(">=", 48))
+		Expect(report.Sequential.MaxUnprovedShare).To(BeNumerically("<=", 0.05))
+		Expect(report.Sequential.StoppedInGoal).To(BeNumerically(">=", 54))
 		Expect(report.Baseline.BadTakenBack).To(BeNumerically("<", 80), "the baseline is no comparison if it finds all")
 	})
 
--- a/internal/replay/traffic.go
+++ b/internal/replay/traffic.go
@@ -52,9 +52,10 @@
 	good := effectOf(&rt.behaviour[oldVersion], s.versions[newVersion].load, 0)
 	for range poisson(r.rng, rt.perSecond*tickMs/1000) {
 		d := r.daemons[r.rng.IntN(len(r.daemons))]
-		index := r.pick(s, d)
+		index := r.pick(rt, d)
 		used := s.versions[index].used
 		if len(used) == 0 {
+			r.countOffered()
 			continue
 		}
 		t := used[r.rng.IntN(len(used))]
@@ -68,8 +69,8 @@
 }
 
 // pick chooses the version of a request.
-func (r *run) pick(s *service, d *daemon) int {
-	if r.rng.Float64() < d.share() && len(s.versions[newVersion].used) > 0 {
+func (r *run) pick(rt *route, d *daemon) int {
+	if d.picksNew(r.rng, rt) && len(rt.service.versions[newVersion].used) > 0 {
 		return newVersion
 	}
 	return oldVersion
@@ -84,18 +85,25 @@
 	}
 }
 
-func (r *run) count(now int64, index int) {
+// countOffered counts a request of any version. Requests that find no target
+// belong to the service's traffic too: without them the new version's part
+// would exceed its share whenever the old version's targets crash.
+func (r *run) countOffered() {
 	if r.ended && r.out.End == Done {
 		return
 	}
 	r.out.Requests++
-	unproved := r.out.ProvedMs < 0
-	if unproved {
+	if r.out.ProvedMs < 0 {
 		r.observer.unprovedAll++
 	}
-	if index != newVersion {
+}
+
+func (r *run) count(now int64, index int) {
+	r.countOffered()
+	if r.ended && r.out.End == Done || index != newVersion {
 		return
 	}
+	unproved := r.out.ProvedMs < 0
 	r.out.NewRequests++
 	r.out.StoppedMs = now
 	if unproved {
@@ -129,7 +137,7 @@
 func (r *run) crash(now int64, c *crash) {
 	s := c.route.service
 	d := r.daemons[r.rng.IntN(len(r.daemons))]
-	index := r.pick(s, d)
+	index := r.pick(c.route, d)
 	v := s.versions[index]
 	if len(v.used) == 0 {
 		return
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/move"
 )
 
 // maxEjectedPart bounds the ejected part of a version's targets. When more
@@ -21,11 +23,13 @@
 type Chooser struct {
 	domain string
 	random *rand.Rand
+	// draws chooses the versions of each route, by its name.
+	draws map[string]*move.Draw
 }
 
 // NewChooser returns a chooser for a daemon in the failure domain.
 func NewChooser(domain string, random *rand.Rand) *Chooser {
-	return &Chooser{domain: domain, random: random}
+	return &Chooser{domain: domain, random: random, draws: map[string]*move.Draw{}}
 }
 
 // First chooses for the first attempt of a request. It returns false when the
@@ -74,11 +78,11 @@
 	if r.Version != "" {
 		return usable(r.Service.version(r.Version))
 	}
-	drawn := c.draw(r.Service.Versions, func(*Version) bool { return true })
+	drawn := draw(c.point(r), r.Service.Versions, func(*Version) bool { return true })
 	if usable(drawn) != nil {
 		return drawn
 	}
-	if v := c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
+	if v := draw(c.random.Float64(), r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
 		return v
 	}
 	for _, v := range r.Service.Versions {
@@ -86,7 +90,7 @@
 			return v
 		}
 	}
-	return c.draw(r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.Proving })
+	return draw(c.random.Float64(), r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.Proving })
 }
 
 func usable(v *Version) *Version {
@@ -96,7 +100,23 @@
 	return v
 }
 
-func (c *Chooser) draw(versions []*Version, allowed func(*Version) bool) *Version {
+// point returns the next point of the route's draw. Without a move there is no
+// small share to keep to.
+func (c *Chooser) point(r *Route) float64 {
+	if r.Service.Ticket == 0 {
+		return c.random.Float64()
+	}
+	d, ok := c.draws[r.Name]
+	if !ok {
+		d = move.NewDraw(c.random.Uint64())
+		c.draws[r.Name] = d
+	}
+	return d.Next()
+}
+
+// draw returns the version at the point of the unit interval that the allowed
+// versions divide by their shares.
+func draw(at float64, versions []*Version, allowed func(*Version) bool) *Version {
 	total := 0.0
 	for _, v := range versions {
 		if allowed(v) {
@@ -106,7 +126,7 @@
 	if total <= 0 {
 		return nil
 	}
-	point := c.random.Float64() * total
+	point := at * total
 	var last *Version
 	for _, v := range versions {
 		if !allowed(v) || v.Share <= 0 {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -65,6 +65,14 @@
 		Expect(fromNew).To(Equal(1))
 	})
 
+	// Guards against an unproved version that gets more than its share by
+	// chance: 20 000 random draws may be off by a hundred.
+	It("keeps a version's share within a few requests", func() {
+		config.Steps = steps(50, 0)
+		_, versions := drawn(config, "a", start)
+		Expect(versions["v2"]).To(BeNumerically("~", draws*0.05, 2))
+	})
+
 	// Guards against daemons that spread a version over different targets.
 	It("chooses the same focus for any order of the endpoints", func() {
 		config.Steps = steps(50, 2)
