Let a daemon that is cut off brake without the cap for noise

A daemon's brake adds at most 1 nat per interval from 25% on, since one daemon cannot tell how noisy the old version is. In a control outage no one else judges, so a version with 30% errors kept 25% of the traffic for 12 to 13 s.

The cap now goes only for daemons without a path to the controller, known after 2.5 s.

--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -72,7 +72,9 @@
 		n.evidence.judges[number] = judge
 	}
 	judge.targets.Update(n.now, n.targetCounts(open), step)
-	judge.brake.Observe(n.now, judge.targets.Stage(n.now, step), own)
+	stage := judge.targets.Stage(n.now, step)
+	stage.CutOff = !n.rooted()
+	judge.brake.Observe(n.now, stage, own)
 	if reason, set := judge.brake.Set(); set {
 		n.setBrake(noLink, &wire.Brake{Ticket: number, Reason: reason, Vm: n.cfg.VM})
 	}
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -19,6 +19,9 @@
 	// Short is true while a service has lost so many targets of its new
 	// version that the rest is overloaded. Evidence does not count then.
 	Short bool
+	// CutOff is true for a daemon that the controller cannot hear, so that no
+	// one else can find a fault in its traffic.
+	CutOff bool
 }
 
 // Verdict is a judge's opinion of the new versions.
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -175,4 +175,29 @@
 		_, set = b.Set()
 		Expect(set).To(BeTrue())
 	})
+
+	// Guards against a bad version that keeps half of the traffic for the
+	// whole of a control outage, because each daemon waits for the controller.
+	It("sets sooner on a daemon that is cut off", func() {
+		intervals := func(cutOff bool) int {
+			b := move.NewBrake(nil)
+			rng := rand.New(rand.NewPCG(7, 7))
+			for i := range 200 {
+				fresh := usual
+				if i >= 50 {
+					fresh = behaviour{errors: 0.3, mean: 20 * time.Millisecond}
+				}
+				stage := move.Stage{Permille: 500, Targets: eight, CutOff: cutOff}
+				b.Observe(start.Add(time.Duration(i)*move.SampleInterval), stage, []move.Sample{
+					draw(rng, key("lookup", false), 50, usual), draw(rng, key("lookup", true), 50, fresh),
+				})
+				if _, set := b.Set(); set {
+					return i - 50
+				}
+			}
+			return 200
+		}
+		Expect(intervals(true)).To(BeNumerically("<=", 6))
+		Expect(intervals(false)).To(BeNumerically(">", 12))
+	})
 })
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -29,7 +29,8 @@
 type SequentialJudge struct {
 	limit float64
 	// cautious is for small samples, which cannot tell how noisy the old
-	// version is.
+	// version is. It does not apply to a daemon that is cut off: there the cap
+	// for noise left bad versions with traffic for 12 s more.
 	cautious bool
 	verdict  Verdict
 	routes   map[routeKey]*routeTest
@@ -78,7 +79,7 @@
 	noisy := j.noisyServices()
 	for _, key := range j.order {
 		test := j.routes[key]
-		c := circumstances{noisy: noisy[key.service] || j.cautious && stage.Permille >= relievedPermille, stretched: j.loads[key.service].stretched()}
+		c := circumstances{noisy: noisy[key.service] || j.cautious && !stage.CutOff && stage.Permille >= relievedPermille, stretched: j.loads[key.service].stretched()}
 		test.flush(stage, c, weight)
 		if closing {
 			test.closeBlock()
--- a/internal/replay/daemons.go
+++ b/internal/replay/daemons.go
@@ -89,10 +89,12 @@
 }
 
 // drain ends an interval and reports whether the daemon set its brake in it.
-func (d *daemon) drain(now time.Time, counts map[string]move.TargetCount) (samples []move.Sample, reason string, set bool) {
+func (d *daemon) drain(now time.Time, counts map[string]move.TargetCount, cutOff bool) (samples []move.Sample, reason string, set bool) {
 	samples = d.collector.Drain()
 	d.targets.Update(now, counts, d.step)
-	d.brake.Observe(now, d.targets.Stage(now, d.step), samples)
+	stage := d.targets.Stage(now, d.step)
+	stage.CutOff = cutOff
+	d.brake.Observe(now, stage, samples)
 	reason, set = d.brake.Set()
 	set = set && !d.braked
 	if set {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -161,7 +161,7 @@
 	if now%interval != phase {
 		return
 	}
-	samples, reason, set := d.drain(clock(now), r.targets(now))
+	samples, reason, set := d.drain(clock(now), r.targets(now), r.world.cutOff(now))
 	if set {
 		r.out.Brakes++
 		at := max(now, r.world.controlUntil) + r.options.StepDelay.Milliseconds()
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -6,8 +6,13 @@
 	"github.com/magnoliamount/magnoliamount/internal/trace"
 )
 
-// tickMs is the resolution of a replay in milliseconds.
-const tickMs = 100
+const (
+	// tickMs is the resolution of a replay in milliseconds.
+	tickMs = 100
+	// heartbeatLossMs is how long a daemon hears nothing from its parent until
+	// it knows that it is cut off.
+	heartbeatLossMs = 2500
+)
 
 // world is what the trace says at a time.
 type world struct {
@@ -17,6 +22,8 @@
 	order    []*service
 	// platformUntil and controlUntil end the current outages.
 	platformUntil, controlUntil int64
+	// controlFrom is when the current control outage began.
+	controlFrom int64
 	// takeoverUntil ends the time without a controller.
 	takeoverUntil int64
 	takeovers     int
@@ -121,21 +128,29 @@
 	case trace.KindTargets:
 		w.services[l.Service].versions[w.versionIndex(l)].change(l.Targets)
 	case trace.KindOutage:
-		w.startOutage(l.Outage)
+		w.startOutage(now, l.Outage)
 	case trace.KindTakeover:
 		w.takeovers++
 		w.takeoverUntil = now + l.Takeover.GapMs
 	}
 }
 
-func (w *world) startOutage(o *trace.Outage) {
+func (w *world) startOutage(now int64, o *trace.Outage) {
 	if o.Of == trace.Platform {
 		w.platformUntil = max(w.platformUntil, o.UntilMs)
 		return
 	}
+	if now >= w.controlUntil {
+		w.controlFrom = now
+	}
 	w.controlUntil = max(w.controlUntil, o.UntilMs)
 }
 
+// cutOff reports whether daemons know that the controller cannot hear them.
+func (w *world) cutOff(now int64) bool {
+	return now < w.controlUntil && now >= w.controlFrom+heartbeatLossMs
+}
+
 func (w *world) route(l *trace.Line) *route {
 	for _, r := range w.services[l.Service].routes {
 		if r.name == l.Route {
