Measure slowness only against twenty old requests or more

The two measures of slowness now wait for 20 old requests, as the estimate of the rate does; stalled requests count from the first.

--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -143,6 +143,25 @@
 		Expect(with).To(BeNumerically("<", without))
 	})
 
+	// Guards against an idle service whose few old requests pass for the old
+	// version's latency, seen with order-good-idle.
+	It("does not measure slowness by a handful of old requests", func() {
+		for seed := range uint64(200) {
+			rng := rand.New(rand.NewPCG(seed, 8))
+			j := move.NewSequentialJudge(move.FalseAlarmBound)
+			for i := range 200 {
+				old, fresh, permille := 0, 1, uint32(1000)
+				if i < 3 {
+					old, fresh, permille = 1, 0, 50
+				}
+				j.Observe(start.Add(time.Duration(i+1)*10*time.Second), move.Stage{Permille: permille, Targets: eight}, []move.Sample{
+					draw(rng, key("lookup", false), old, usual), draw(rng, key("lookup", true), fresh, usual),
+				})
+			}
+			Expect(j.Verdict().Bad).To(BeFalse(), "seed %d: %s", seed, j.Verdict().Reason)
+		}
+	})
+
 	// Guards against proof without evidence.
 	It("has no negative doubt without requests of the new version", func() {
 		j := move.NewSequentialJudge(move.FalseAlarmBound)
--- a/internal/move/route.go
+++ b/internal/move/route.go
@@ -62,9 +62,11 @@
 	errors.oldHits = float64(t.old.Errors)
 	errors.newHits = float64(t.new.Errors)
 	t.errors.observe(errors, weight)
-	if bucket, ok := t.slowBucket(); ok {
-		t.slow.observe(t.slower(base, bucket, stage.Cold), weight)
-		t.far.observe(t.slower(base, bucket+farShift, farCold*stage.Cold), weight)
+	if bucket, total := t.slowBucket(); total > 0 {
+		if total >= pairedRequests {
+			t.slow.observe(t.slower(base, bucket, stage.Cold), weight)
+			t.far.observe(t.slower(base, bucket+farShift, farCold*stage.Cold), weight)
+		}
 		t.stalled.observe(t.slower(base, bucket+stallShift, 0), weight)
 	}
 	t.old, t.new = Sample{}, Sample{}
@@ -97,21 +99,19 @@
 	return base
 }
 
-// slowBucket is the bucket of the old version's 95th percentile.
-func (t *routeTest) slowBucket() (int, bool) {
-	var total float64
+// slowBucket is the bucket of the old version's 95th percentile, and the weight
+// of the requests that it comes from. The slowest of a handful of requests is no
+// 95th percentile: a good version of an idle service had 70% slow requests by it.
+func (t *routeTest) slowBucket() (bucket int, total float64) {
 	for _, n := range t.profile {
 		total += n
 	}
-	if total == 0 {
-		return 0, false
-	}
 	var sum float64
 	for i, n := range t.profile {
 		sum += n
 		if sum >= slowQuantile*total {
-			return i, true
+			return i, total
 		}
 	}
-	return LatencyBuckets - 1, true
+	return LatencyBuckets - 1, total
 }
