--- a/internal/replay/traffic.go
+++ b/internal/replay/traffic.go
@@ -52,24 +52,25 @@
 	good := effectOf(&rt.behaviour[oldVersion], s.versions[newVersion].load, 0)
 	for range poisson(r.rng, rt.perSecond*tickMs/1000) {
 		d := r.daemons[r.rng.IntN(len(r.daemons))]
-		index := r.pick(s, d)
+		index := r.pick(rt, d)
 		used := s.versions[index].used
 		if len(used) == 0 {
+			r.countOffered(s)
 			continue
 		}
 		t := used[r.rng.IntN(len(used))]
 		o := r.request(s, rt, index, effects[index], t)
 		d.later(now, o)
-		r.count(now, index)
-		if index == newVersion && !r.ended {
-			r.observer.sent(now, rt, o, effects[newVersion], good, t.coldFactor())
+		r.count(now, s, index)
+		if index == newVersion && s.bad && !r.ended {
+			r.observer.sent(now, o, effects[newVersion], good, t.coldFactor())
 		}
 	}
 }
 
 // pick chooses the version of a request.
-func (r *run) pick(s *service, d *daemon) int {
-	if r.rng.Float64() < d.share() && len(s.versions[newVersion].used) > 0 {
+func (r *run) pick(rt *route, d *daemon) int {
+	if d.picksNew(r.rng, rt) && len(rt.service.versions[newVersion].used) > 0 {
 		return newVersion
 	}
 	return oldVersion
@@ -84,25 +85,30 @@
 	}
 }
 
-func (r *run) count(now int64, index int) {
+// countOffered counts a request of any version. Requests that find no target
+// belong to the service's traffic too: without them the new version's part
+// would exceed its share whenever the old version's targets crash.
+func (r *run) countOffered(s *service) {
 	if r.ended && r.out.End == Done {
 		return
 	}
 	r.out.Requests++
-	unproved := r.out.ProvedMs < 0
-	if unproved {
-		r.observer.unprovedAll++
+	if r.out.ProvedMs < 0 {
+		s.unprovedAll++
 	}
-	if index != newVersion {
+}
+
+func (r *run) count(now int64, s *service, index int) {
+	r.countOffered(s)
+	if r.ended && r.out.End == Done || index != newVersion {
 		return
 	}
+	unproved := r.out.ProvedMs < 0
 	r.out.NewRequests++
 	r.out.StoppedMs = now
 	if unproved {
-		r.observer.unprovedNew++
-	}
-	if unproved && r.observer.unprovedAll >= shareRequests {
-		r.out.UnprovedShare = float64(r.observer.unprovedNew) / float64(r.observer.unprovedAll)
+		s.unprovedNew++
+		r.noteUnprovedShare()
 	}
 	if r.out.ShownMs >= 0 {
 		r.out.AfterShown++
@@ -112,6 +118,16 @@
 	}
 }
 
+// noteUnprovedShare keeps the largest share of the services at this time.
+func (r *run) noteUnprovedShare() {
+	r.out.UnprovedShare = 0
+	for _, s := range r.world.order {
+		if s.unprovedAll >= shareRequests {
+			r.out.UnprovedShare = max(r.out.UnprovedShare, float64(s.unprovedNew)/float64(s.unprovedAll))
+		}
+	}
+}
+
 // crashes sends the crashing requests that are due.
 func (r *run) crashes(now int64) {
 	for i := range r.world.crashes {
@@ -129,7 +145,7 @@
 func (r *run) crash(now int64, c *crash) {
 	s := c.route.service
 	d := r.daemons[r.rng.IntN(len(r.daemons))]
-	index := r.pick(s, d)
+	index := r.pick(c.route, d)
 	v := s.versions[index]
 	if len(v.used) == 0 {
 		return
