Read the owners of sockets in one pass for all waiting connections

The proxies recognise a connection's source by walking the open files of all daemons. Each connection took its own walk, so a burst of connections slowed all of them until daemons gave up and dialled again.

--- a/test/faults/faults.go
+++ b/test/faults/faults.go
@@ -91,6 +91,7 @@
 type Network struct {
 	owners func() map[int]string
 	server *toxiproxy.ApiServer
+	scans  scans
 
 	mu        sync.Mutex
 	listeners []net.Listener
--- a/test/faults/owner.go
+++ b/test/faults/owner.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -36,13 +37,7 @@
 	if err != nil || inode == 0 {
 		return ""
 	}
-	link := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
-	for pid, name := range n.owners() {
-		if ownsSocket(pid, link) {
-			return name
-		}
-	}
-	return ""
+	return n.scans.sockets(n.owners)["socket:["+strconv.FormatUint(uint64(inode), 10)+"]"]
 }
 
 // inodeOf asks the kernel for the socket with the addresses.
@@ -97,16 +92,60 @@
 	return message, nil
 }
 
-func ownsSocket(pid int, link string) bool {
+// scans reads the sockets of all owners in one pass for all connections that
+// wait. A pass for each connection takes so long when many connections are
+// opened together that daemons give up on them and open more.
+type scans struct {
+	// running is held during a pass.
+	running sync.Mutex
+	mu      sync.Mutex
+	// next is the pass that has not begun, or nil.
+	next *scan
+}
+
+// scan is one pass.
+type scan struct {
+	done   chan struct{}
+	owners map[string]string
+}
+
+// sockets names the owner of each socket, from a pass that begins after the call.
+func (s *scans) sockets(owners func() map[int]string) map[string]string {
+	s.mu.Lock()
+	joined := s.next
+	if joined == nil {
+		joined = &scan{done: make(chan struct{})}
+		s.next = joined
+		go s.run(joined, owners)
+	}
+	s.mu.Unlock()
+	<-joined.done
+	return joined.owners
+}
+
+func (s *scans) run(pass *scan, owners func() map[int]string) {
+	s.running.Lock()
+	defer s.running.Unlock()
+	s.mu.Lock()
+	s.next = nil
+	s.mu.Unlock()
+	pass.owners = map[string]string{}
+	for pid, name := range owners() {
+		addSockets(pass.owners, pid, name)
+	}
+	close(pass.done)
+}
+
+// addSockets adds the sockets of a process, as /proc names them.
+func addSockets(owners map[string]string, pid int, name string) {
 	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
-	names, err := os.ReadDir(dir)
+	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return false
+		return
 	}
-	for _, name := range names {
-		if target, err := os.Readlink(filepath.Join(dir, name.Name())); err == nil && target == link {
-			return true
+	for _, e := range entries {
+		if link, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil {
+			owners[link] = name
 		}
 	}
-	return false
 }
