Settle claims of two children for the same member

When a relay and its former child attach to the controller together, both claim the members below that child with the same entries. Ruled out: a lost frame, and the direct child, which the controller recognises.

A member that two children claimed with the same entry is now marked lost after 3 s if the count of the child that claimed it last is short; it then announces itself again.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -83,6 +83,7 @@
 		}
 	}
 	delete(n.tree.missing, e.VM)
+	n.noteContest(id, &e, ok && !e.Newer(&known))
 	if n.tree.via[e.VM] != id {
 		n.tree.via[e.VM] = id
 		n.markDirty(e.VM, id)
@@ -180,6 +181,7 @@
 // tickMembers gives up members that stayed away and forgets old ones.
 func (n *Node) tickMembers() {
 	n.markMissing()
+	n.settleContests()
 	n.sweepUnclaimed()
 	expired := n.members.Expire(n.now, n.cfg.Timings.MemberExpiry, keepGone)
 	if n.isController() {
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -139,6 +139,8 @@
 	faults      []string
 	// bytes counts the frames' bytes by receiver.
 	bytes map[string]int
+	// delay is how long an event takes to the daemon; nil means linkDelay.
+	delay func(to *fakeDaemon) time.Duration
 }
 
 const linkDelay = 2 * time.Millisecond
@@ -195,7 +197,11 @@
 }
 
 func (m *mesh) deliver(to *fakeDaemon, ev core.Event) {
-	m.queue = append(m.queue, delivery{at: m.now.Add(linkDelay), to: to, life: to.starts, ev: ev})
+	delay := linkDelay
+	if m.delay != nil {
+		delay = m.delay(to)
+	}
+	m.queue = append(m.queue, delivery{at: m.now.Add(delay), to: to, life: to.starts, ev: ev})
 }
 
 // run lets simulated time pass in steps of a tick.
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -37,6 +37,9 @@
 	via map[string]peer.LinkID
 	// missing holds members whose child link went down, and since when.
 	missing map[string]time.Time
+	// contested holds members that two children claimed with the same entry,
+	// and since when.
+	contested map[string]time.Time
 	// dirty holds changed endpoints to pass on, and where they came from.
 	dirty map[string]peer.LinkID
 	// sweepAt is when a new controller gives up members that nobody claimed.
@@ -70,6 +73,7 @@
 	t.suspects = map[string]time.Time{}
 	t.via = map[string]peer.LinkID{}
 	t.missing = map[string]time.Time{}
+	t.contested = map[string]time.Time{}
 	t.dirty = map[string]peer.LinkID{}
 	t.probes = map[uint64]peer.LinkID{}
 	t.unrootedSince = now
