Check the share and the stop time of bad versions

The checker bounds the share of a bad version until it is proved or taken back, and the time from evident badness to the last request.

--- a/test/checker/report.go
+++ b/test/checker/report.go
@@ -33,6 +33,9 @@
 	PartlyTakenBack Kind = "partly-taken-back"
 	// Exposed is a bad version that ran too large a share of the requests.
 	Exposed Kind = "exposed"
+	// StillUsed is a bad version that got requests for too long after its
+	// badness was evident.
+	StillUsed Kind = "still-used"
 	// Misjudged is a good version that was taken back.
 	Misjudged Kind = "misjudged"
 	// CrashSpread is a request that crashed too many targets.
@@ -60,6 +63,8 @@
 	Findings []Finding `json:"findings"`
 	// Tolerated counts cut attempts through a daemon or target that was killed.
 	Tolerated int `json:"tolerated"`
+	// Exposures holds what each bad version got.
+	Exposures []Exposure `json:"exposures"`
 }
 
 // Count returns the number of findings of the kind.
--- a/test/checker/versions.go
+++ b/test/checker/versions.go
@@ -27,6 +27,15 @@
 	// version runs between From and the take-back; 0 does not check it.
 	MaxShare float64
 	From     time.Time
+	// UnprovedShare bounds the same fraction until the version is proved or
+	// taken back; 0 does not check it.
+	UnprovedShare float64
+	// StopLimit bounds the time from evident badness to the last request of
+	// the version; 0 does not check it.
+	StopLimit time.Duration
+	// Slow is the duration from which a lookup counts as bad, like a failed
+	// run does; 0 counts failed runs only.
+	Slow time.Duration
 }
 
 // Departure is the begin of a planned stop.
@@ -70,6 +79,7 @@
 	for _, service := range b.Services {
 		checkExposure(b, service, first, last, records.Targets, report)
 	}
+	checkStopped(b, first, records, report)
 }
 
 // takeBackTimes returns when the first and the last daemon took the ticket back.
@@ -92,28 +102,19 @@
 }
 
 func checkExposure(b *BadVersion, service string, first, last time.Time, files [][]target.Entry, report *Report) {
-	all, ofBad, after := 0, 0, 0
+	after := 0
 	for _, entries := range files {
 		for i := range entries {
 			e := &entries[i]
-			if e.Phase != target.Started || e.Service != service {
-				continue
-			}
-			if e.Version == b.Version && e.Start.After(last.Add(settleTime)) {
+			if e.Phase == target.Started && e.Service == service && e.Version == b.Version && e.Start.After(last.Add(settleTime)) {
 				after++
 			}
-			if e.Start.Before(b.From) || e.Start.After(first) {
-				continue
-			}
-			all++
-			if e.Version == b.Version {
-				ofBad++
-			}
 		}
 	}
 	if after > 0 {
 		report.add(PartlyTakenBack, ticketName(b.Ticket), "%s of %s ran %d requests after the last daemon took it back", b.Version, service, after)
 	}
+	all, ofBad := countRuns(b, service, first, files)
 	if b.MaxShare > 0 && float64(ofBad) > b.MaxShare*float64(all) {
 		report.add(Exposed, ticketName(b.Ticket), "%s ran %d of the %d requests of %s", b.Version, ofBad, all, service)
 	}
