Replace a VM and take back a bad version in every scenario

Three further VMs serve an archive service. While a scenario's own fault is active, one of them is replaced as planned with uploads in flight, and a bad version of the archive is taken back together with the service and route that its ticket adds. Each sampled state has that ticket as a whole or not at all.

--- a/test/fleet/vm.go
+++ b/test/fleet/vm.go
@@ -35,9 +35,10 @@
 	// TargetAddress is where the target takes requests.
 	TargetAddress string
 
-	fleet  *Fleet
-	index  int
-	starts int
+	fleet     *Fleet
+	authority *Authority
+	index     int
+	starts    int
 }
 
 // VMConfig describes a VM.
@@ -50,6 +51,9 @@
 	// Via replaces the advertised peer and inbound addresses by others that
 	// lead there; nil keeps them.
 	Via func(peer, inbound string) (viaPeer, viaInbound string, err error)
+	// Stranger is another authority that signs the certificate of this VM,
+	// which is then not among the fleet's VMs; nil takes the fleet's.
+	Stranger *Authority
 }
 
 // AddVM chooses the addresses of a VM and starts its daemon.
@@ -72,13 +76,29 @@
 			return nil, err
 		}
 	}
-	f.mu.Lock()
-	vm.index = len(f.vms)
-	f.vms[c.Name] = vm
-	f.mu.Unlock()
+	if vm.authority = c.Stranger; c.Stranger == nil {
+		vm.authority = f.config.Authority
+		f.mu.Lock()
+		vm.index = len(f.vms)
+		f.vms[c.Name] = vm
+		f.mu.Unlock()
+	}
+	if err := vm.writeCertificate(); err != nil {
+		return nil, err
+	}
 	return vm, vm.StartDaemon()
 }
 
+func (vm *VM) writeCertificate() error {
+	if vm.authority == nil {
+		return nil
+	}
+	if err := vm.Trust(vm.authority); err != nil {
+		return err
+	}
+	return vm.authority.Issue(vm)
+}
+
 // StartDaemon starts the daemon, also after it ended.
 func (vm *VM) StartDaemon() error {
 	path := vm.fleet.Path(vm.Name + ".ini")
@@ -103,6 +123,9 @@
 	return err
 }
 
+// Starts returns how often the target was started.
+func (vm *VM) Starts() int { return vm.starts }
+
 // Record names the record file of a start of the target, counted from 1.
 func (vm *VM) Record(start int) string {
 	return vm.fleet.Path(vm.Name + "-target-" + strconv.Itoa(start) + ".jsonl")
--- a/test/integration/links_test.go
+++ b/test/integration/links_test.go
@@ -25,6 +25,7 @@
 	w.start(usual)
 	w.startLoad(usualRate)
 	from := time.Now()
+	acts := w.beginArchive()
 	late := faults.Fault{Latency: 50 * time.Millisecond, Jitter: 50 * time.Millisecond}
 	w.Expect(w.net.Set(func(l faults.Link) bool { return faults.Mesh(l) && !l.Peer }, late)).To(gomega.Succeed())
 	for round := range 4 {
@@ -41,6 +42,7 @@
 	}
 	w.Expect(w.net.Heal()).To(gomega.Succeed())
 	w.disturbed("", from, time.Now())
+	w.finishArchive(acts)
 }
 
 // linkDaemons cuts single links, one after another, during a move.
@@ -49,6 +51,9 @@
 	w.startLoad(usualRate)
 	t := w.moveBoth(moveTime)
 	w.accept(t)
+	acts := w.beginArchive()
+	w.rotate()
+	stranger := w.startStranger()
 	for range 3 {
 		a := w.controller().Name
 		b := w.vm(1 + w.random.IntN(8)).Name
@@ -60,18 +65,23 @@
 			w.accept(addRoute(w.number(), fmt.Sprintf("cut-%d", w.next)))
 		})
 	}
+	w.finishArchive(acts)
 	w.waitState(t.Number, "done")
+	w.expectKeptOut(stranger)
 }
 
 // linkDomains cuts the controller's domain off, then another one.
 func linkDomains(w *world) {
 	w.start(usual)
 	w.startLoad(usualRate)
+	w.archiveStopLimit = cutStopLimit
+	acts := w.beginArchive()
 	for _, domain := range []string{w.controller().Domain, fmt.Sprintf("domain-%d", 1+w.random.IntN(4))} {
 		group := w.names(func(vm *fleet.VM) bool { return vm.Domain == domain })
 		w.cutGroup(group, w.between(7*time.Second, 9*time.Second))
 		w.pause(2 * time.Second)
 	}
+	w.finishArchive(acts)
 }
 
 // cutGroup cuts a group off while operators on both sides submit tickets. The
@@ -105,7 +115,10 @@
 	t := w.moveBoth(moveTime)
 	w.accept(t)
 	w.waitProgress(t.Number, 10)
+	w.archiveStopLimit = cutStopLimit
+	acts := w.beginArchive()
 	group := w.names(func(vm *fleet.VM) bool { return vm.Region == "region-2" })
 	w.cutGroup(group, w.between(8*time.Second, 12*time.Second))
+	w.finishArchive(acts)
 	w.waitState(t.Number, "done")
 }
--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -36,6 +36,7 @@
 	w.startCaller("orders", "--rate", fmt.Sprint(rate), "--get-weight", "76", "--once-weight", "20", "--upload-weight", "4",
 		"--upload-bytes", fmt.Sprint(uploadBytes), "--upload-time", uploadTime.String(), "--timeout", "45s")
 	w.startCaller("mandates", "--rate", fmt.Sprint(max(rate/2, 1)), "--get-weight", "100", "--once-weight", "0", "--upload-weight", "0", "--get-path", "/mandates/7", "--timeout", "45s")
+	w.startCaller("archive", "--rate", fmt.Sprint(archiveRate), "--get-weight", "100", "--once-weight", "0", "--upload-weight", "0", "--get-path", "/archive/lookup", "--timeout", "45s")
 }
 
 // startCaller starts a caller that uses all daemons in turn.
--- a/test/integration/watch_test.go
+++ b/test/integration/watch_test.go
@@ -20,7 +20,8 @@
 
 // watch samples the states of the daemons in turn. In each, every route must
 // point at a service and version of the same state, and a daemon's revision
-// must not fall while its process lives.
+// must not fall while its process lives. The bad archive's ticket is in the
+// state as a whole or not at all.
 type watch struct {
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -70,6 +71,7 @@
 func (a *watch) sample(vm *fleet.VM, pid int, state *admin.StateBody) {
 	a.samples++
 	a.broken = append(a.broken, dangling(vm.Name, state)...)
+	a.broken = append(a.broken, split(vm.Name, state)...)
 	if state.Revision < a.highest[pid] {
 		a.broken = append(a.broken, fmt.Sprintf("%s shows revision %d after %d", vm.Name, state.Revision, a.highest[pid]))
 	}
@@ -109,3 +111,13 @@
 	gomega.Expect(dangling("vm-1", state)).To(gomega.HaveExactElements(gomega.ContainSubstring("bad-version"), gomega.ContainSubstring("bad-service")))
 	gomega.Expect(dangling("vm-1", &admin.StateBody{Services: state.Services, Routes: state.Routes[:1]})).To(gomega.BeEmpty())
 })
+
+var _ = It("finds a ticket of which a state has a part only: guards against a watch that never fails", func() {
+	moved := admin.ServiceBody{Service: ticketfile.Service{Name: archive, Versions: []string{"v1", "v2"}}}
+	added := admin.ServiceBody{Service: ticketfile.Service{Name: archiveNotes, Versions: []string{"v1"}}}
+	route := ticketfile.Route{Name: archiveNotes, Service: archiveNotes}
+	gomega.Expect(split("vm-1", &admin.StateBody{Services: []admin.ServiceBody{moved, added}})).To(gomega.HaveLen(1))
+	gomega.Expect(split("vm-1", &admin.StateBody{Services: []admin.ServiceBody{added}, Routes: []ticketfile.Route{route}})).To(gomega.HaveLen(1))
+	gomega.Expect(split("vm-1", &admin.StateBody{Services: []admin.ServiceBody{moved, added}, Routes: []ticketfile.Route{route}})).To(gomega.BeEmpty())
+	gomega.Expect(split("vm-1", &admin.StateBody{})).To(gomega.BeEmpty())
+})
