Send endpoint tables once, compressed, and repeat no descriptions

Counting the frames of 100 simulated nodes showed where the bytes of endpoint entries go: 120 B for each entry of a table that a newcomer gets; the tables of a failure domain in both directions whenever a daemon attaches again, since its own sequence has just risen; and full entries in the claims and news that follow, although every receiver holds the addresses and the target.

- An entry can be short: without its description.
A receiver that lacks the description asks the sender for it and merges nothing until it has it.
- The parent answers a Hello with the failure domains that differ, and the child sends back only what it knows better.
Welcome carries no digests.

The protocol changed: older daemons do not understand the frame.

Ruled out: tracking for each link what the other side holds. It saves a round trip for unknown descriptions only, and takes memory for every link and entry.

Tests: the frame of the test with a clock that was ahead, and the member test of entries without addresses, use batches, with the same expectations. TestRandomFaults also announces targets, and expects every proxy to have the announced target and no ready endpoint without an address. This found a ready entry of a controller that never had a parent, sent without its description.

--- a/internal/core/children.go
+++ b/internal/core/children.go
@@ -59,12 +59,10 @@
 	delete(t.missing, c.vm)
 	delete(t.suspects, c.vm)
 	n.emit(timeline.ChildAttached, detail(c.vm))
-	welcome := n.welcomeFrame()
-	welcome.GetWelcome().EndpointDigests = n.members.Digests()
-	n.send(id, welcome)
+	n.send(id, n.welcomeFrame())
 	n.syncState(id, c)
 	n.syncSoftState(id)
-	n.sendDifferingEndpoints(id, h.GetEndpointDigests())
+	n.sendTable(id, h.GetEndpointDigests())
 }
 
 // replaceChild ends an earlier link of the VM, which its daemon has given up
@@ -173,7 +171,7 @@
 	p.resync = n.now.Add(resyncInterval)
 	n.after(resyncInterval, func() {
 		if n.tree.parent == p {
-			n.sendHello(id)
+			n.sendHello(id, nil)
 		}
 	})
 }
@@ -252,7 +250,7 @@
 		n.applySnapshot(body.Snapshot.GetState())
 		n.checkReady()
 	case *wire.Frame_Endpoints:
-		n.mergeEndpoints(id, body.Endpoints)
+		n.endpointsFromParent(id, body.Endpoints)
 	case *wire.Frame_Steps:
 		if p := n.tree.parent; p != nil && p.id == id && !p.stale {
 			n.stepsReceived(body.Steps.GetSteps())
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -227,7 +227,7 @@
 		m.table.down = true
 		d := m.daemons[22]
 		d.kill()
-		d.seeds = []string{m.daemons[4].name, m.daemons[7].name}
+		d.seeds = []string{m.daemons[4].address(peerPort), m.daemons[7].address(peerPort)}
 		d.start()
 		m.run(15 * time.Second)
 		Expect(d.node.Ready()).To(Succeed())
@@ -303,8 +303,8 @@
 
 	It("overrides its own entry of an earlier start whose clock was ahead", func() {
 		d := m.daemons[5]
-		future := wire.Endpoint{Vm: d.name, Domain: d.domain, Incarnation: 1 << 60, Sequence: 4, State: wire.EndpointState_ENDPOINT_STATE_GONE}
-		frame := &wire.Frame{Body: &wire.Frame_Endpoints{Endpoints: &wire.Endpoints{Endpoints: []*wire.Endpoint{&future}}}}
+		future := member.Endpoint{VM: d.name, Domain: d.domain, Incarnation: 1 << 60, Sequence: 4, State: member.Gone}
+		frame := wire.EndpointsFrame((&member.Batch{Entries: []member.Endpoint{future}}).Encode())
 		for id := range d.links {
 			d.handle(core.FrameReceived{Link: id, Frame: frame})
 		}
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -9,72 +9,75 @@
 	"github.com/magnoliamount/magnoliamount/internal/wire"
 )
 
-// endpointsPerFrame keeps a frame of endpoints well below the frame limit.
-const endpointsPerFrame = 1000
-
 // claimSubtree tells a new parent which members are below this node. The own
 // sequence rises, so that every relay that gave this VM up takes it back.
 func (n *Node) claimSubtree() {
-	n.announceSelf()
-	endpoints := []member.Endpoint{n.self}
-	for _, vm := range slices.Sorted(maps.Keys(n.tree.via)) {
+	t := &n.tree
+	n.announceSelf(!t.introduced)
+	claim := member.Batch{Claim: true, Entries: []member.Endpoint{n.self.Short()}}
+	if !t.introduced {
+		claim.Entries[0] = n.self
+	}
+	t.introduced = true
+	for _, vm := range slices.Sorted(maps.Keys(t.via)) {
 		if e, ok := n.members.Get(vm); ok && vm != n.cfg.VM {
-			endpoints = append(endpoints, e)
+			claim.Entries = append(claim.Entries, e.Short())
 		}
 	}
-	n.sendEndpoints(n.tree.parent.id, endpoints, endpointFlags{claim: true})
+	n.sendBatch(t.parent.id, &claim)
 }
 
-// endpointFlags are the flags of a frame of endpoints.
-type endpointFlags struct{ claim, sync bool }
-
-// sendEndpoints sends entries. A comparison of tables is bulk, changes are not.
-func (n *Node) sendEndpoints(id peer.LinkID, endpoints []member.Endpoint, flags endpointFlags) {
-	for chunk := range slices.Chunk(endpoints, endpointsPerFrame) {
-		out := &wire.Endpoints{Claim: flags.claim, Sync: flags.sync}
-		for i := range chunk {
-			out.Endpoints = append(out.Endpoints, chunk[i].ToWire())
-		}
-		frame := &wire.Frame{Body: &wire.Frame_Endpoints{Endpoints: out}}
-		n.effects = append(n.effects, SendFrame{Link: id, Frame: frame, Bulk: flags.sync})
+// sendBatch sends endpoints. A comparison of tables is bulk, changes are not.
+func (n *Node) sendBatch(id peer.LinkID, b *member.Batch) {
+	if len(b.Entries) == 0 && len(b.Compared) == 0 && len(b.Wanted) == 0 {
+		return
 	}
+	n.effects = append(n.effects, SendFrame{Link: id, Frame: wire.EndpointsFrame(b.Encode()), Bulk: b.Sync})
 }
 
-// sendDifferingEndpoints sends the endpoints of the failure domains whose
-// digest differs from the neighbor's. Both sides do so when a link comes up,
-// since each may have marked members lost that the other knows to be live.
-func (n *Node) sendDifferingEndpoints(id peer.LinkID, theirs map[string]uint64) {
-	ours := n.members.Digests()
-	var differing []member.Endpoint
-	for _, e := range n.members.All() {
-		digest, known := theirs[e.Domain]
-		if !known || digest != ours[e.Domain] {
-			differing = append(differing, e)
+// endpointsFromChild merges the entries and remembers which members are
+// reached through the link.
+func (n *Node) endpointsFromChild(id peer.LinkID, body *wire.Endpoints) {
+	b, ok := n.decodeBatch(id, body)
+	if !ok {
+		return
+	}
+	if b.Claim {
+		for i := range b.Entries {
+			n.claimed(id, &b.Entries[i])
 		}
 	}
-	if len(differing) > 0 {
-		n.sendEndpoints(id, differing, endpointFlags{sync: true})
+	n.mergeEndpoints(id, b)
+}
+
+// endpointsFromParent merges the entries and answers a comparison of tables.
+func (n *Node) endpointsFromParent(id peer.LinkID, body *wire.Endpoints) {
+	b, ok := n.decodeBatch(id, body)
+	if !ok {
+		return
 	}
+	n.mergeEndpoints(id, b)
+	n.answerComparison(id, b)
 }
 
-// endpointsFromChild merges the entries and remembers which members are
-// reached through the link.
-func (n *Node) endpointsFromChild(id peer.LinkID, in *wire.Endpoints) {
-	if in.GetClaim() {
-		for _, w := range in.GetEndpoints() {
-			n.claimed(id, w)
+func (n *Node) decodeBatch(id peer.LinkID, body *wire.Endpoints) (*member.Batch, bool) {
+	encoded, err := wire.BatchOf(body)
+	if err == nil {
+		var b *member.Batch
+		if b, err = member.DecodeBatch(encoded); err == nil {
+			return b, true
 		}
 	}
-	n.mergeEndpoints(id, in)
+	n.refuseLink(id, err.Error())
+	return nil, false
 }
 
 // claimed takes note that a member is below the child. A claim with an older
 // entry than the known one, or for a member that is a child itself, comes from
 // a relay that the member has left.
-func (n *Node) claimed(id peer.LinkID, w *wire.Endpoint) {
-	e := member.FromWire(w)
+func (n *Node) claimed(id peer.LinkID, e *member.Endpoint) {
 	known, ok := n.members.Get(e.VM)
-	if e.VM == n.cfg.VM || ok && known.Newer(&e) {
+	if e.VM == n.cfg.VM || ok && known.Newer(e) {
 		return
 	}
 	for other, c := range n.tree.children {
@@ -85,32 +88,47 @@
 	delete(n.tree.missing, e.VM)
 	if n.tree.via[e.VM] != id {
 		n.tree.via[e.VM] = id
-		n.markDirty(e.VM, id)
+		n.markDirty(e.VM, id, false)
 	}
 }
 
-// mergeEndpoints takes over newer entries and passes them on. A known entry
-// that comes again, other than in a comparison of tables, means that a relay
-// elsewhere has claimed the member.
-func (n *Node) mergeEndpoints(from peer.LinkID, in *wire.Endpoints) {
-	for _, w := range in.GetEndpoints() {
-		e := member.FromWire(w)
-		if e.VM == "" || e.State < member.Ready || e.State > member.Gone {
-			continue
-		}
-		if e.VM == n.cfg.VM {
-			n.defendSelf(&e)
-			continue
-		}
-		known, ok := n.members.Get(e.VM)
-		if !in.GetSync() && (!ok || !known.Newer(&e)) {
-			delete(n.tree.missing, e.VM)
-		}
-		if n.members.Merge(n.now, e) {
-			n.markDirty(e.VM, from)
-			n.publishDue = true
+// mergeEndpoints takes over newer entries and passes them on. It asks for the
+// description of a short entry that refers to one that this node lacks.
+func (n *Node) mergeEndpoints(from peer.LinkID, b *member.Batch) {
+	n.sendWanted(from, b.Wanted)
+	var wanted []string
+	for i := range b.Entries {
+		e := &b.Entries[i]
+		switch {
+		case e.VM == "" || e.State < member.Ready || e.State > member.Gone:
+		case e.VM == n.cfg.VM:
+			n.defendSelf(e)
+		case !n.mergeEndpoint(from, e, b.Sync):
+			wanted = append(wanted, e.VM)
 		}
 	}
+	n.sendBatch(from, &member.Batch{Sync: true, Wanted: wanted})
+}
+
+// mergeEndpoint reports whether it could use the entry. A known entry that
+// comes again, other than in a comparison of tables, means that a relay
+// elsewhere has claimed the member.
+func (n *Node) mergeEndpoint(from peer.LinkID, e *member.Endpoint, sync bool) bool {
+	known, ok := n.members.Get(e.VM)
+	if !sync && (!ok || !known.Newer(e)) {
+		delete(n.tree.missing, e.VM)
+	}
+	if ok && !e.Newer(&known) {
+		return true
+	}
+	if n.members.Lacks(e) {
+		return false
+	}
+	learned := !known.SameDescription(e)
+	n.members.Merge(n.now, *e)
+	n.markDirty(e.VM, from, learned)
+	n.publishDue = true
+	return true
 }
 
 // defendSelf overrides an entry of this VM that others hold. An entry of a
@@ -120,20 +138,26 @@
 		return
 	}
 	n.self.Sequence = e.Sequence
-	if e.Incarnation > n.self.Incarnation {
+	restarted := e.Incarnation > n.self.Incarnation
+	if restarted {
 		n.self.Incarnation = e.Incarnation + 1
 		n.announce.nextWrite = n.now
 	}
-	n.announceSelf()
+	n.announceSelf(restarted)
 }
 
-func (n *Node) markDirty(vm string, from peer.LinkID) { n.tree.dirty[vm] = from }
+// dirtyEntry is a changed endpoint that has to be passed on.
+type dirtyEntry struct {
+	// from is the link that the change came from.
+	from peer.LinkID
+	// described is set if the neighbors lack the entry's description.
+	described bool
+}
 
-// spreadEndpoints passes entries on in the next tick.
-func (n *Node) spreadEndpoints(from peer.LinkID, endpoints []member.Endpoint) {
-	for i := range endpoints {
-		n.markDirty(endpoints[i].VM, from)
-	}
+// markDirty passes an entry on in the next tick.
+func (n *Node) markDirty(vm string, from peer.LinkID, described bool) {
+	dirty := n.tree.dirty
+	dirty[vm] = dirtyEntry{from: from, described: described || dirty[vm].described}
 }
 
 // flushEndpoints sends the changed entries to every neighbor but the one they
@@ -151,8 +175,13 @@
 	for _, id := range neighbors {
 		var out []member.Endpoint
 		for _, vm := range changed {
-			if e, ok := n.members.Get(vm); ok && t.dirty[vm] != id {
-				out = append(out, e)
+			e, ok := n.members.Get(vm)
+			switch d := t.dirty[vm]; {
+			case !ok || d.from == id:
+			case d.described:
+				out = append(out, e.ForTable())
+			default:
+				out = append(out, e.Short())
 			}
 		}
 		n.sendChanged(id, out)
@@ -173,8 +202,8 @@
 			others = append(others, e)
 		}
 	}
-	n.sendEndpoints(id, claims, endpointFlags{claim: true})
-	n.sendEndpoints(id, others, endpointFlags{})
+	n.sendBatch(id, &member.Batch{Claim: true, Entries: claims})
+	n.sendBatch(id, &member.Batch{Entries: others})
 }
 
 // tickMembers gives up members that stayed away and forgets old ones.
@@ -206,12 +235,10 @@
 }
 
 func (n *Node) markLost(vm string) {
-	e, changed := n.members.MarkLost(n.now, vm)
-	if !changed {
-		return
+	if _, changed := n.members.MarkLost(n.now, vm); changed {
+		n.markDirty(vm, noLink, false)
+		n.publishDue = true
 	}
-	n.spreadEndpoints(noLink, []member.Endpoint{e})
-	n.publishDue = true
 }
 
 // sweepUnclaimed lets a new controller give up the members that have not come
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/core"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/peer"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
@@ -98,6 +99,10 @@
 	domain string
 	node   *core.Node
 	starts uint64
+	// age is how long before the test the first start was, in microseconds.
+	age uint64
+	// target is what the target beside the daemon last announced.
+	target member.Target
 	// seeds are the peer addresses in the daemon's settings.
 	seeds  []string
 	alive  bool
@@ -137,8 +142,8 @@
 	// offPlatform tells which daemons cannot reach the platform.
 	offPlatform func(d *fakeDaemon) bool
 	faults      []string
-	// bytes counts the frames' bytes by receiver.
-	bytes map[string]int
+	// traffic counts the frames' bytes while a test measures; otherwise nil.
+	traffic *traffic
 }
 
 const linkDelay = 2 * time.Millisecond
@@ -150,32 +155,66 @@
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		cut:         func(*fakeDaemon, *fakeDaemon) bool { return false },
 		offPlatform: func(*fakeDaemon) bool { return false },
-		bytes:       map[string]int{},
 	}
 }
 
-func (m *mesh) add(name, domain string) *fakeDaemon {
-	d := &fakeDaemon{mesh: m, name: name, domain: domain}
+func (m *mesh) add(name, domain string) *fakeDaemon { return m.addOld(name, domain, 0) }
+
+// addOld adds a daemon whose incarnation is of an earlier time.
+func (m *mesh) addOld(name, domain string, age time.Duration) *fakeDaemon {
+	d := &fakeDaemon{mesh: m, name: name, domain: domain, age: uint64(age.Microseconds())}
 	m.daemons = append(m.daemons, d)
 	d.start()
 	return d
 }
 
 func (d *fakeDaemon) start() {
-	d.starts++
+	if d.starts++; d.starts > 1 {
+		d.age = 0
+	}
 	d.alive = true
 	d.paused = false
 	d.waiting = nil
 	d.config = nil
+	d.target = member.Target{}
 	d.links = map[peer.LinkID]*end{}
 	d.replies = map[uint64]core.Reply{}
 	d.node = core.NewNode(core.Config{
-		VM: d.name, Domain: d.domain, Region: "region-1", Incarnation: uint64(d.mesh.now.UnixMicro()) + d.starts,
-		PeerAddress: d.name, InboundAddress: d.name, Token: "secret", SeedPeers: d.seeds, Timings: core.DefaultTimings(),
+		VM: d.name, Domain: d.domain, Region: d.region(), Incarnation: uint64(d.mesh.now.UnixMicro()) + d.starts - d.age,
+		PeerAddress: d.address(peerPort), InboundAddress: d.address(inboundPort), AdminAddress: d.address(adminPort), Token: "secret", SeedPeers: d.seeds, Timings: core.DefaultTimings(),
 		Rand: rand.New(rand.NewPCG(d.mesh.random.Uint64(), 2)),
 	}, d.mesh.now)
 }
 
+// Ports of the daemons' listeners.
+const (
+	peerPort    = 7001
+	inboundPort = 7002
+	adminPort   = 7003
+)
+
+// address is unique to the daemon, which has its place in the mesh as host.
+func (d *fakeDaemon) address(port int) string {
+	i := slices.Index(d.mesh.daemons, d)
+	return fmt.Sprintf("10.0.%d.%d:%d", i/250, i%250+1, port)
+}
+
+// region has the first four failure domains in one region, as in the design size.
+func (d *fakeDaemon) region() string {
+	if strings.HasSuffix(d.domain, "4") || strings.HasSuffix(d.domain, "5") || strings.HasSuffix(d.domain, "6") {
+		return "region-2"
+	}
+	return "region-1"
+}
+
+// announce tells the daemon about the target beside it.
+func (d *fakeDaemon) announce(target member.Target) {
+	if d.alive {
+		d.target = target
+		d.handle(core.TargetChanged{Target: target, State: member.Ready})
+	}
+}
+
 func (d *fakeDaemon) kill() {
 	d.alive = false
 	for id := range d.links {
@@ -264,7 +303,9 @@
 	switch e := effect.(type) {
 	case core.SendFrame:
 		if link, ok := d.links[e.Link]; ok {
-			m.bytes[link.to.name] += frameBytes(e.Frame)
+			if m.traffic != nil {
+				m.traffic.count(d, link.to, e.Frame)
+			}
 			m.deliver(link.to, core.FrameReceived{Link: link.toID, Frame: e.Frame})
 		}
 	case core.Dial:
@@ -294,13 +335,18 @@
 	if err := c.State.Check(); err != nil {
 		d.mesh.faults = append(d.mesh.faults, d.name+": "+err.Error())
 	}
+	for _, e := range c.Endpoints {
+		if e.State == member.Ready && e.InboundAddress == "" {
+			d.mesh.faults = append(d.mesh.faults, d.name+" got endpoint "+e.VM+" without an address")
+		}
+	}
 	d.served = max(d.served, c.State.Revision)
 	d.config = c
 }
 
 func (d *fakeDaemon) dial(e core.Dial) {
 	for _, other := range d.mesh.daemons {
-		if other.name != e.Address || !other.alive || other.paused || d.mesh.cut(d, other) {
+		if other.address(peerPort) != e.Address || !other.alive || other.paused || d.mesh.cut(d, other) {
 			continue
 		}
 		other.accepted++
@@ -314,8 +360,6 @@
 	d.mesh.deliver(d, core.LinkDown{Link: e.Link, Err: fault.New(fault.Unavailable, "refused")})
 }
 
-func frameBytes(f *wire.Frame) int { return wire.Size(f) }
-
 // head returns the newest revision of the log.
 func (m *mesh) head() uint64 {
 	return m.table.items[platform.Key{Partition: "head", Sort: "head"}].Rev
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -81,7 +81,7 @@
 		brakes:  map[uint64]*wire.Brake{},
 		strikes: map[uint64]uint32{},
 		self: member.Endpoint{
-			VM: cfg.VM, Incarnation: cfg.Incarnation, Sequence: 1, State: member.Ready,
+			VM: cfg.VM, Incarnation: cfg.Incarnation, Sequence: 1, Described: 1, State: member.Ready,
 			Domain: cfg.Domain, Region: cfg.Region,
 			PeerAddress: cfg.PeerAddress, InboundAddress: cfg.InboundAddress, AdminAddress: cfg.AdminAddress,
 		},
@@ -170,7 +170,7 @@
 	n.stopping = true
 	n.emit(timeline.DaemonStopping, nil)
 	n.self.State = member.Draining
-	n.announceSelf()
+	n.announceSelf(false)
 	n.releaseLease()
 	n.removeAnnouncement()
 }
@@ -179,7 +179,7 @@
 func (n *Node) leave() {
 	n.stopping = true
 	n.self.State = member.Gone
-	n.announceSelf()
+	n.announceSelf(false)
 	n.flushEndpoints()
 }
 
@@ -194,17 +194,22 @@
 	if n.self.Target == e.Target && n.self.State == state {
 		return
 	}
+	described := n.self.Target != e.Target
 	n.self.Target = e.Target
 	n.self.State = state
-	n.announceSelf()
+	n.announceSelf(described)
 }
 
-// announceSelf spreads this daemon's own endpoint with a higher sequence.
-func (n *Node) announceSelf() {
+// announceSelf spreads this daemon's own endpoint with a higher sequence, and
+// with its description if that is new.
+func (n *Node) announceSelf(described bool) {
 	n.self.Sequence++
+	if described {
+		n.self.Described = n.self.Sequence
+	}
 	n.members.Merge(n.now, n.self)
 	n.emit(timeline.EndpointChanged, detail(n.self.Target.Service+" "+n.self.Target.Version+" "+n.self.State.String()))
-	n.spreadEndpoints(noLink, []member.Endpoint{n.self})
+	n.markDirty(n.cfg.VM, noLink, described)
 	n.publishDue = true
 }
 
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/magnoliamount/magnoliamount/internal/core"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/model"
 )
 
@@ -26,7 +29,7 @@
 // TestRandomFaults drives a small mesh with random faults, restarts and racing
 // operators. It guards against a served revision that goes back, an accepted
 // ticket that disappears, two tickets under one number, a move that never ends,
-// and a mesh that does not come together again once the faults end.
+// an endpoint whose target differs from the one that its daemon announced, and a mesh that does not come together again once the faults end.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMesh(rapid.Uint64Range(1, 1<<20).Draw(t, "seed"))
@@ -56,6 +59,11 @@
 	return m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(t, label)]
 }
 
+func (m *mesh) named(vm string) *fakeDaemon {
+	i := slices.IndexFunc(m.daemons, func(d *fakeDaemon) bool { return d.name == vm })
+	return m.daemons[i]
+}
+
 func (m *mesh) heal() {
 	m.table.down = false
 	m.table.loseAnswers = 0
@@ -73,7 +81,7 @@
 
 func (h *history) act(t *rapid.T, m *mesh) {
 	d := m.draw(t, "daemon")
-	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "move", "move", "bad", "controller", "controller-off-platform", "cut-pair"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "outage", "heal-platform", "lose", "cut", "uncut", "off-platform", "submit", "submit", "submit", "race", "move", "move", "bad", "controller", "controller-off-platform", "cut-pair", "target"}).Draw(t, "action") {
 	case "kill":
 		d.kill()
 	case "start":
@@ -110,6 +118,8 @@
 		for number := range d.node.View().State.Open {
 			d.handle(core.SamplesTaken{Samples: badSamples(number)})
 		}
+	case "target":
+		d.announce(member.Target{Service: "orders", Version: fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "version")), Slots: 10})
 	case "race":
 		h.submit(m, d, "first")
 		h.submit(m, m.draw(t, "rival"), "second")
@@ -168,6 +178,11 @@
 		if len(d.config.Endpoints) != len(m.daemons) {
 			t.Fatalf("%s knows %d of %d endpoints", d.name, len(d.config.Endpoints), len(m.daemons))
 		}
+		for _, e := range d.config.Endpoints {
+			if announced := m.named(e.VM).target; e.Target != announced {
+				t.Fatalf("%s has target %+v for %s, which announced %+v", d.name, e.Target, e.VM, announced)
+			}
+		}
 		if len(view.State.Open) > 0 {
 			t.Fatalf("%s still has open tickets long after their finish time: %v", d.name, view.Progress)
 		}
--- a/internal/core/tree.go
+++ b/internal/core/tree.go
@@ -38,7 +38,9 @@
 	// missing holds members whose child link went down, and since when.
 	missing map[string]time.Time
 	// dirty holds changed endpoints to pass on, and where they came from.
-	dirty map[string]peer.LinkID
+	dirty map[string]dirtyEntry
+	// introduced is set once this start of the daemon has had a parent.
+	introduced bool
 	// sweepAt is when a new controller gives up members that nobody claimed.
 	sweepAt time.Time
 	probes  map[uint64]peer.LinkID
@@ -52,6 +54,8 @@
 	address string
 	started time.Time
 	up      bool
+	// digests are those of the Hello on this link.
+	digests map[string]uint64
 	// path lists the VMs from the parent to the controller; empty means that
 	// the parent has no live path.
 	path      []string
@@ -70,7 +74,7 @@
 	t.suspects = map[string]time.Time{}
 	t.via = map[string]peer.LinkID{}
 	t.missing = map[string]time.Time{}
-	t.dirty = map[string]peer.LinkID{}
+	t.dirty = map[string]dirtyEntry{}
 	t.probes = map[uint64]peer.LinkID{}
 	t.unrootedSince = now
 }
@@ -232,14 +236,15 @@
 		return
 	}
 	t.dialing.up = true
-	n.sendHello(id)
+	t.dialing.digests = n.helloDigests()
+	n.sendHello(id, t.dialing.digests)
 }
 
-func (n *Node) sendHello(id peer.LinkID) {
+func (n *Node) sendHello(id peer.LinkID, digests map[string]uint64) {
 	hello := &wire.Hello{
 		Vm: n.cfg.VM, Incarnation: n.self.Incarnation, Domain: n.cfg.Domain, Region: n.cfg.Region,
 		Revision: n.state.Revision, Epoch: n.controller.epoch, Token: n.cfg.Token,
-		EndpointDigests: n.members.Digests(),
+		EndpointDigests: digests,
 	}
 	n.send(id, &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}})
 }
@@ -338,8 +343,8 @@
 	d.path = nil
 	t.sentAck.Reset()
 	n.emit(timeline.ParentAttached, func(e *timeline.Event) { e.Detail = d.vm; e.Epoch = w.GetController().GetEpoch() })
+	n.sendChangedSince(d.id, d.digests)
 	n.claimSubtree()
-	n.sendDifferingEndpoints(d.id, w.GetEndpointDigests())
 	n.setPath(path)
 	if wasRooted != n.rooted() {
 		n.sendWelcomes()
--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -55,6 +55,9 @@
 	VM          string
 	Incarnation uint64
 	Sequence    uint64
+	// Described is the sequence at which the daemon last changed the entry's
+	// description: its addresses and its target.
+	Described   uint64
 	State       State
 	Domain      string
 	Region      string
@@ -75,15 +78,40 @@
 	) > 0
 }
 
-// partial reports whether the entry came without addresses and target.
+// partial reports whether the entry came without its description.
 func (e *Endpoint) partial() bool { return e.PeerAddress == "" }
 
+// Short returns the entry without its description. Most news repeat a
+// description that every receiver knows, and it is most of an entry's bytes.
+func (e *Endpoint) Short() Endpoint {
+	return Endpoint{
+		VM: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
+		Described: e.Described, State: e.State, Domain: e.Domain,
+	}
+}
+
+// SameDescription reports whether e holds the description that other, an entry
+// of the same VM, has or refers to.
+func (e *Endpoint) SameDescription(other *Endpoint) bool {
+	return !e.partial() && e.Incarnation == other.Incarnation && e.Described == other.Described
+}
+
+// ForTable returns the entry as it is sent to a daemon that does not know it.
+// An endpoint that takes no new work needs no description.
+func (e *Endpoint) ForTable() Endpoint {
+	if e.State >= Draining {
+		return e.Short()
+	}
+	return *e
+}
+
 // fill takes over from an earlier entry of the same start what a partial
 // entry leaves out.
 func (e *Endpoint) fill(known *Endpoint) {
 	if !e.partial() || known.Incarnation != e.Incarnation {
 		return
 	}
+	e.Described = known.Described
 	e.Region = known.Region
 	e.PeerAddress = known.PeerAddress
 	e.InboundAddress = known.InboundAddress
@@ -96,16 +124,9 @@
 	return e.State == Ready && e.Target.Service == service
 }
 
-// ToWire encodes the endpoint. The target's own address stays on its VM. An
-// endpoint that takes no new work is sent without the rest: the receivers know
-// it already, and restarts make up most of the control bytes.
+// ToWire encodes the endpoint for the platform's table. The target's own
+// address stays on its VM.
 func (e *Endpoint) ToWire() *wire.Endpoint {
-	if e.State >= Draining {
-		return &wire.Endpoint{
-			Vm: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
-			State: wire.EndpointState(e.State), Domain: e.Domain,
-		}
-	}
 	w := &wire.Endpoint{
 		Vm: e.VM, Incarnation: e.Incarnation, Sequence: e.Sequence,
 		State: wire.EndpointState(e.State), Domain: e.Domain, Region: e.Region,
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -49,12 +49,30 @@
 		table.Merge(start, full)
 		leaving := full
 		leaving.Sequence, leaving.State = 7, member.Draining
-		received := member.FromWire(leaving.ToWire())
-		Expect(received.InboundAddress).To(BeEmpty())
-		table.Merge(start, received)
+		sent := &member.Batch{Entries: []member.Endpoint{leaving.ForTable()}}
+		received, err := member.DecodeBatch(sent.Encode())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Entries[0].InboundAddress).To(BeEmpty())
+		table.Merge(start, received.Entries[0])
 		Expect(table.Live()).To(Equal([]member.Endpoint{leaving}))
 	})
 
+	// A proxy would otherwise send requests to the target that the member had
+	// before its latest change.
+	It("does not complete a ready entry by a description that it does not refer to", func() {
+		full := endpoint("a", 2, 6, member.Ready)
+		full.Described, full.PeerAddress = 6, "127.0.0.1:1"
+		table.Merge(start, full)
+		again, changed, restarted := full.Short(), full.Short(), full.Short()
+		again.Sequence = 8
+		changed.Sequence, changed.Described = 8, 7
+		restarted.Incarnation = 3
+		Expect(table.Lacks(&again)).To(BeFalse())
+		Expect(table.Lacks(&changed)).To(BeTrue())
+		Expect(table.Lacks(&restarted)).To(BeTrue())
+		Expect(member.NewTable().Lacks(&again)).To(BeTrue())
+	})
+
 	It("keeps a delayed update from bringing back a member that left", func() {
 		table.Merge(start, endpoint("a", 2, 6, member.Gone))
 		Expect(table.Merge(start.Add(time.Minute), endpoint("a", 2, 5, member.Ready))).To(BeFalse())
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -46,6 +46,16 @@
 	return true
 }
 
+// Lacks reports whether a short entry of a ready endpoint cannot be merged,
+// because the table does not hold the description that it refers to.
+func (t *Table) Lacks(e *Endpoint) bool {
+	if !e.partial() || e.State != Ready {
+		return false
+	}
+	known, ok := t.entries[e.VM]
+	return !ok || !known.endpoint.SameDescription(e)
+}
+
 // Get returns the endpoint of the VM.
 func (t *Table) Get(vm string) (Endpoint, bool) {
 	known, ok := t.entries[vm]
@@ -88,6 +98,9 @@
 	return t.filter(func(e *entry) bool { return e.endpoint.State == Lost })
 }
 
+// Len returns the number of endpoints, tombstones included.
+func (t *Table) Len() int { return len(t.entries) }
+
 // All returns every endpoint, tombstones included, by VM.
 func (t *Table) All() []Endpoint {
 	return t.filter(func(*entry) bool { return true })
