Split the relay tree and the Node struct into modules with one job

- uplink.go: the parent and the change of parents.
- search.go: whom to dial and when.
- children.go: admission and loss of children.
- presence.go: where members were last heard of, and what to pass on.
- records.go, frames.go, effects.go, self.go, replica.go, config.go.

tree consists of uplink, downlinks and presence; Node embeds the replica of the durable state and the soft state. Fields keep their names. presence and search have methods that need no Node.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -146,10 +146,9 @@
 func (n *Node) withoutSuspects(members []member.Endpoint) []member.Endpoint {
 	var kept []member.Endpoint
 	for _, e := range members {
-		if until, ok := n.tree.suspects[e.VM]; ok && n.now.Before(until) {
-			continue
+		if !n.tree.suspected(e.VM, n.now) {
+			kept = append(kept, e)
 		}
-		kept = append(kept, e)
 	}
 	return kept
 }
--- a/internal/core/compare.go
+++ b/internal/core/compare.go
@@ -89,8 +89,7 @@
 // node and its subtree.
 func (n *Node) notBelow(domains []string) []member.Endpoint {
 	return slices.DeleteFunc(n.members.All(), func(e member.Endpoint) bool {
-		_, below := n.tree.via[e.VM]
-		return below || e.VM == n.cfg.VM || !slices.Contains(domains, e.Domain)
+		return n.tree.below(e.VM) || e.VM == n.cfg.VM || !slices.Contains(domains, e.Domain)
 	})
 }
 
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -27,14 +27,6 @@
 	n.sendBatch(t.parent.id, &claim)
 }
 
-// sendBatch sends endpoints. A comparison of tables is bulk, changes are not.
-func (n *Node) sendBatch(id peer.LinkID, b *member.Batch) {
-	if len(b.Entries) == 0 && len(b.Compared) == 0 && len(b.Wanted) == 0 {
-		return
-	}
-	n.effects = append(n.effects, SendFrame{Link: id, Frame: wire.EndpointsFrame(b.Encode()), Bulk: b.Sync})
-}
-
 // endpointsFromChild merges the entries and remembers which members are
 // reached through the link.
 func (n *Node) endpointsFromChild(id peer.LinkID, body *wire.Endpoints) {
@@ -85,10 +77,8 @@
 			return
 		}
 	}
-	delete(n.tree.missing, e.VM)
-	if n.tree.via[e.VM] != id {
-		n.tree.via[e.VM] = id
-		n.markDirty(e.VM, id, false)
+	if n.tree.heardThrough(e.VM, id) {
+		n.tree.markDirty(e.VM, id, false)
 	}
 }
 
@@ -126,40 +116,11 @@
 	}
 	learned := !known.SameDescription(e)
 	n.members.Merge(n.now, *e)
-	n.markDirty(e.VM, from, learned)
+	n.tree.markDirty(e.VM, from, learned)
 	n.publishDue = true
 	return true
 }
 
-// defendSelf overrides an entry of this VM that others hold. An entry of a
-// higher incarnation is from an earlier start under a clock that was ahead.
-func (n *Node) defendSelf(e *member.Endpoint) {
-	if n.stopping || !e.Newer(&n.self) {
-		return
-	}
-	n.self.Sequence = e.Sequence
-	restarted := e.Incarnation > n.self.Incarnation
-	if restarted {
-		n.self.Incarnation = e.Incarnation + 1
-		n.announce.nextWrite = n.now
-	}
-	n.announceSelf(restarted)
-}
-
-// dirtyEntry is a changed endpoint that has to be passed on.
-type dirtyEntry struct {
-	// from is the link that the change came from.
-	from peer.LinkID
-	// described is set if the neighbors lack the entry's description.
-	described bool
-}
-
-// markDirty passes an entry on in the next tick.
-func (n *Node) markDirty(vm string, from peer.LinkID, described bool) {
-	dirty := n.tree.dirty
-	dirty[vm] = dirtyEntry{from: from, described: described || dirty[vm].described}
-}
-
 // flushEndpoints sends the changed entries to every neighbor but the one they
 // came from. One frame for a tick's changes keeps bursts of churn small.
 func (n *Node) flushEndpoints() {
@@ -195,8 +156,7 @@
 	t := &n.tree
 	var claims, others []member.Endpoint
 	for _, e := range changed {
-		_, below := t.via[e.VM]
-		if t.parent != nil && t.parent.id == id && (below || e.VM == n.cfg.VM) {
+		if t.parent != nil && t.parent.id == id && (t.below(e.VM) || e.VM == n.cfg.VM) {
 			claims = append(claims, e)
 		} else {
 			others = append(others, e)
@@ -205,57 +165,3 @@
 	n.sendBatch(id, &member.Batch{Claim: true, Entries: claims})
 	n.sendBatch(id, &member.Batch{Entries: others})
 }
-
-// tickMembers gives up members that stayed away and forgets old ones.
-func (n *Node) tickMembers() {
-	n.markMissing()
-	n.sweepUnclaimed()
-	expired := n.members.Expire(n.now, n.cfg.Timings.MemberExpiry, keepGone)
-	if n.isController() {
-		for _, e := range expired {
-			n.deleteAnnouncement(e.VM, e.Incarnation)
-		}
-	}
-	for vm, until := range n.tree.suspects {
-		if n.now.After(until) {
-			delete(n.tree.suspects, vm)
-		}
-	}
-	n.flushEndpoints()
-}
-
-func (n *Node) markMissing() {
-	for _, vm := range slices.Sorted(maps.Keys(n.tree.missing)) {
-		if n.now.Sub(n.tree.missing[vm]) < n.cfg.Timings.EndpointLost {
-			continue
-		}
-		delete(n.tree.missing, vm)
-		n.markLost(vm)
-	}
-}
-
-func (n *Node) markLost(vm string) {
-	if _, changed := n.members.MarkLost(n.now, vm); changed {
-		n.markDirty(vm, noLink, false)
-		n.publishDue = true
-	}
-}
-
-// sweepUnclaimed lets a new controller give up the members that have not come
-// back below it; the relays that would have noticed may have died too.
-func (n *Node) sweepUnclaimed() {
-	t := &n.tree
-	if t.sweepAt.IsZero() || n.now.Before(t.sweepAt) {
-		return
-	}
-	t.sweepAt = n.now.Add(n.cfg.Timings.MemberExpiry)
-	if !n.isController() {
-		t.sweepAt = t.sweepAt.AddDate(1, 0, 0)
-		return
-	}
-	for _, e := range n.members.Live() {
-		if _, claimed := t.via[e.VM]; !claimed && e.VM != n.cfg.VM {
-			n.markLost(e.VM)
-		}
-	}
-}
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -230,6 +230,13 @@
 	return controllerInfo{vm: c.GetVm(), epoch: c.GetEpoch(), address: c.GetPeerAddress()}
 }
 
+// controllerInfo is the newest controller that the node knows.
+type controllerInfo struct {
+	vm      string
+	epoch   uint64
+	address string
+}
+
 // learnController takes over news of a controller with a higher epoch.
 func (n *Node) learnController(c controllerInfo) {
 	if c.epoch <= n.controller.epoch {
