Wait for the target of a new child before telling all daemons of it

A planned restart sent every daemon four entries: draining, gone, ready without a target (73 B) and ready with its target (88 B). The third is of no use to the proxies. A relay now waits for up to 2.5 s for the target of a new direct child. The wait applies at this relay only, not at each hop, and not if the child takes the place of a live entry, since the target of that one is gone.

--- a/internal/core/bytes_test.go
+++ b/internal/core/bytes_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/member"
 )
 
 // events are what makes endpoints change, in the order in which they are measured.
@@ -50,7 +52,7 @@
 var _ = It("sends few bytes when daemons restart", func() {
 	const n = 100
 	m := measuredMesh(n)
-	limits := []struct{ mean, busiest int }{{320, 2600}, {700, 5000}, {3000, 12_000}, {4500, 10_000}}
+	limits := []struct{ mean, busiest int }{{240, 2600}, {650, 5000}, {3000, 12_000}, {4500, 10_000}}
 	for i, e := range events {
 		measured := m.measure(func() { e.act(m) })
 		_, busiest := measured.busiest()
@@ -62,3 +64,26 @@
 		Expect(d.config.Endpoints).To(HaveLen(n), d.name)
 	}
 })
+
+// Guards against the delay of a new child without a target being applied to a
+// daemon whose live entry it replaces: proxies would go on sending requests to
+// a target that died, and against a child that is never passed on.
+var _ = It("passes on at once that a daemon is back without its target, and a new daemon within seconds", func() {
+	m := newMesh(1)
+	m.grid(3, 8)
+	m.run(8 * time.Second)
+	crashed, watcher := m.daemons[m.leaf()], m.controller()
+	crashed.announce(member.Target{Service: "orders", Version: "v1", Slots: 10})
+	m.run(time.Second)
+	serving := ContainElement(And(HaveField("VM", crashed.name), HaveField("Target.Service", "orders")))
+	Expect(watcher.config.Endpoints).To(serving)
+	crashed.kill()
+	crashed.start()
+	m.run(time.Second)
+	Expect(watcher.config.Endpoints).NotTo(serving)
+	added := m.add("vm-new", "domain-1")
+	m.run(5 * time.Second)
+	for _, d := range m.daemons {
+		Expect(d.config.Endpoints).To(ContainElement(HaveField("VM", added.name)), d.name)
+	}
+})
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -77,7 +77,8 @@
 			return
 		}
 	}
-	if n.tree.heardThrough(e.VM, id) {
+	// A newer entry is passed on once it is merged.
+	if n.tree.heardThrough(e.VM, id) && ok && !e.Newer(&known) {
 		n.tree.markDirty(e.VM, id, false)
 	}
 }
@@ -116,11 +117,25 @@
 	}
 	learned := !known.SameDescription(e)
 	n.members.Merge(n.now, *e)
-	n.tree.markDirty(e.VM, from, learned)
+	if n.joins(from, e, &known) {
+		n.tree.held[e.VM] = heldEntry{from: from, until: n.now.Add(joinHold)}
+	} else {
+		n.tree.markDirty(e.VM, from, learned)
+	}
 	n.publishDue = true
 	return true
 }
 
+// joins reports whether the entry is of a new child that has no target yet.
+// One that takes the place of a live entry is passed on at once, since the
+// target of that entry is gone.
+func (n *Node) joins(from peer.LinkID, e, known *member.Endpoint) bool {
+	c := n.tree.children[from]
+	_, pending := n.tree.dirty[e.VM]
+	return c != nil && c.vm == e.VM && !pending && e.State == member.Ready && e.Target.Service == "" &&
+		(known.VM == "" || known.State >= member.Lost)
+}
+
 // flushEndpoints sends the changed entries to every neighbor but the one they
 // came from. One frame for a tick's changes keeps bursts of churn small.
 func (n *Node) flushEndpoints() {
--- a/internal/core/presence.go
+++ b/internal/core/presence.go
@@ -17,6 +17,8 @@
 	missing map[string]time.Time
 	// dirty holds changed endpoints to pass on.
 	dirty map[string]dirtyEntry
+	// held holds new children without a target, which are passed on later.
+	held map[string]heldEntry
 	// sweepAt is when a new controller gives up members that nobody claimed.
 	sweepAt time.Time
 }
@@ -25,6 +27,7 @@
 	p.via = map[string]peer.LinkID{}
 	p.missing = map[string]time.Time{}
 	p.dirty = map[string]dirtyEntry{}
+	p.held = map[string]heldEntry{}
 }
 
 // below reports whether the member is in this node's subtree.
@@ -77,7 +80,30 @@
 
 // markDirty passes an entry on in the next tick.
 func (p *presence) markDirty(vm string, from peer.LinkID, described bool) {
-	p.dirty[vm] = dirtyEntry{from: from, described: described || p.dirty[vm].described}
+	_, held := p.held[vm]
+	delete(p.held, vm)
+	p.dirty[vm] = dirtyEntry{from: from, described: described || held || p.dirty[vm].described}
+}
+
+// heldEntry is a new endpoint that is passed on when its target is known, or
+// at the latest when its time has come.
+type heldEntry struct {
+	from  peer.LinkID
+	until time.Time
+}
+
+// joinHold is how long a relay waits for the target of a new child. Targets
+// announce themselves every 2 s. A daemon without a target takes no requests,
+// and telling all daemons of it twice made up a third of a restart's bytes.
+const joinHold = 2500 * time.Millisecond
+
+// releaseHeld passes on the held entries whose time has come.
+func (p *presence) releaseHeld(now time.Time) {
+	for _, vm := range slices.Sorted(maps.Keys(p.held)) {
+		if h := p.held[vm]; !now.Before(h.until) {
+			p.markDirty(vm, h.from, true)
+		}
+	}
 }
 
 // tickMembers gives up members that stayed away and forgets old ones.
@@ -91,6 +117,7 @@
 		}
 	}
 	n.tree.forgetSuspects(n.now)
+	n.tree.releaseHeld(n.now)
 	n.flushEndpoints()
 }
 
