Send requests without a body on the goroutine of their handler

Cause: http.Transport hands each request to a goroutine that writes it and each answer back from one that reads it. At low rates the threads of a daemon are asleep, so each hand-over can wake one.

A link now keeps own connections for requests without a body. The handler writes with Request.Write and reads with http.ReadResponse. Requests with a body stay with http.Transport, which has to read while it writes. Both share the places for connections, so the announced limit holds for their sum. An idle connection is probed with one read that does not wait before it is used; the end of the context closes the connection.

Bodies of short answers, which are read whole, go to the caller from that buffer instead of a copy.

--- /dev/null
+++ b/internal/proxy/direct.go
@@ -0,0 +1,176 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// unlimited is the header budget of a connection outside headers.
+const unlimited = -1
+
+var errHeaderTooLong = errors.New("the header of the answer is too long")
+
+// directConn is a connection that one goroutine writes a request to and reads
+// the answer from. http.Transport hands each request to a goroutine that writes
+// and each answer back from one that reads, and the wakes of their threads are
+// a large part of the cost of a call at low rates.
+type directConn struct {
+	*countedConn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// headerLeft is how many bytes the header of the answer may still have.
+	headerLeft int64
+	idleSince  time.Time
+	probe      [1]byte
+	silent     bool
+}
+
+func newDirectConn(counted *countedConn) (*directConn, error) {
+	c := &directConn{countedConn: counted, headerLeft: unlimited}
+	c.reader = bufio.NewReaderSize(c, ioBufferBytes)
+	c.writer = bufio.NewWriterSize(counted, ioBufferBytes)
+	conn, ok := counted.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no file descriptor")
+	}
+	raw, err := conn.SyscallConn()
+	c.raw = raw
+	return c, err
+}
+
+// Read reads for the buffered reader, within the budget of the header.
+func (c *directConn) Read(p []byte) (int, error) {
+	if c.headerLeft == unlimited {
+		return c.countedConn.Read(p)
+	}
+	if c.headerLeft == 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := c.countedConn.Read(p[:min(int64(len(p)), c.headerLeft)])
+	c.headerLeft -= int64(n)
+	return n, err
+}
+
+// usable reports whether an idle connection is still open and silent. Nobody
+// reads from it while it is idle, so the end of the connection is found here.
+func (c *directConn) usable() bool {
+	c.silent = false
+	err := c.raw.Read(c.peek)
+	return err == nil && c.silent
+}
+
+// peek reads without waiting. A server that sends something on an idle
+// connection, such as status 408, is about to close it.
+func (c *directConn) peek(fd uintptr) bool {
+	_, err := syscall.Read(int(fd), c.probe[:])
+	c.silent = errors.Is(err, syscall.EAGAIN)
+	return true
+}
+
+// exchange sends the request and reads the header of the final answer.
+func (c *directConn) exchange(r *http.Request) (*http.Response, error) {
+	if err := r.Write(c.writer); err != nil {
+		return nil, err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return nil, err
+	}
+	c.headerLeft = maxAnswerHeaderBytes
+	defer func() { c.headerLeft = unlimited }()
+	for {
+		response, err := http.ReadResponse(c.reader, r)
+		if err != nil || !informational(response.StatusCode) {
+			return response, err
+		}
+	}
+}
+
+func informational(status int) bool {
+	return status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// sendDirect carries out one round trip of a request without a body. It
+// returns false, and has sent nothing, when the link has no place for another
+// connection.
+func (l *link) sendDirect(s *sending) (sendResult, bool) {
+	ctx := s.request.Context()
+	conn, err := l.pool.get(ctx)
+	if err != nil {
+		var dialed *dialError
+		return sendResult{err: err, refused: errors.As(err, &dialed) && ctx.Err() == nil}, true
+	}
+	if conn == nil {
+		return sendResult{}, false
+	}
+	base := conn.written.Load()
+	d := &directBody{pool: &l.pool, conn: conn}
+	d.release = context.AfterFunc(ctx, conn.abort)
+	response, err := conn.exchange(s.request)
+	if err != nil {
+		d.end(false)
+		return sendResult{err: err, wrote: conn.written.Load() != base}, true
+	}
+	d.keep = !response.Close && response.StatusCode != http.StatusSwitchingProtocols
+	if response.Body == http.NoBody {
+		d.end(true)
+	} else {
+		d.ReadCloser = response.Body
+		response.Body = d
+	}
+	return sendResult{response: response, wrote: true}, true
+}
+
+// abort ends a round trip whose context has ended.
+func (c *directConn) abort() { _ = c.Close() }
+
+// directBody is the body of an answer. Its connection is used again once the
+// body was read to its end.
+type directBody struct {
+	io.ReadCloser
+	pool *pool
+	conn *directConn
+	// release ends the watch on the context. It returns false when the
+	// connection was closed by it.
+	release func() bool
+	// keep is false when the server closes the connection after the answer.
+	keep  bool
+	ended bool
+}
+
+// Read implements io.Reader.
+func (d *directBody) Read(p []byte) (int, error) {
+	if d.ended {
+		return 0, io.EOF
+	}
+	n, err := d.ReadCloser.Read(p)
+	if err != nil {
+		d.end(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close ends an answer that was not read to its end with its connection.
+func (d *directBody) Close() error {
+	d.end(false)
+	return nil
+}
+
+func (d *directBody) end(whole bool) {
+	if d.ended {
+		return
+	}
+	d.ended = true
+	untouched := d.release()
+	if untouched && whole && d.keep && d.conn.reader.Buffered() == 0 {
+		d.pool.put(d.conn)
+		return
+	}
+	_ = d.conn.Close()
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -85,10 +85,15 @@
 // copying while keep wants the rest.
 func stream(w http.ResponseWriter, response *http.Response, keep *keptAnswer) streamed {
 	var result streamed
+	flusher := http.NewResponseController(w)
+	if whole, ok := response.Body.(*gathered); ok {
+		keep.add(whole.rest)
+		result.caller = writePart(w, flusher, whole.rest, false, nil)
+		return result
+	}
 	pool := buffersFor(response.ContentLength)
 	buffer := pool.Get().(*[]byte)
 	defer pool.Put(buffer)
-	flusher := http.NewResponseController(w)
 	var written int64
 	for {
 		n, err := response.Body.Read(*buffer)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -27,12 +27,17 @@
 	defaultConnections = 110
 	// ioBufferBytes is the size of a connection's buffers.
 	ioBufferBytes = 8 << 10
+	// maxAnswerHeaderBytes bounds the header of an answer, which has the fields
+	// of daemons beside those of the target.
+	maxAnswerHeaderBytes = 2 * maxHeaderBytes
 )
 
-// link sends requests to one endpoint over a bounded pool of connections.
+// link sends requests to one endpoint over a bounded number of connections.
+// Requests without a body go over those of pool, all others over http.Transport.
 type link struct {
 	address     string
 	connections uint32
+	pool        pool
 	transport   *http.Transport
 }
 
@@ -41,29 +46,29 @@
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, &dialError{cause: err}
-		}
-		return &countedConn{Conn: conn}, nil
-	}
-	return &link{address: address, connections: connections, transport: &http.Transport{
-		DialContext:            dial,
+	l := &link{address: address, connections: connections}
+	l.pool.address = address
+	l.pool.dialer.Timeout = dialTimeout
+	l.pool.places = make(chan struct{}, limit)
+	l.transport = &http.Transport{
+		DialContext:            l.pool.dialPlaced,
 		DisableCompression:     true,
 		MaxConnsPerHost:        limit,
 		MaxIdleConns:           limit,
 		MaxIdleConnsPerHost:    limit,
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  expectTimeout,
-		MaxResponseHeaderBytes: 2 * maxHeaderBytes,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		ReadBufferSize:         ioBufferBytes,
 		WriteBufferSize:        ioBufferBytes,
-	}}
+	}
+	return l
 }
 
-func (l *link) close() { l.transport.CloseIdleConnections() }
+func (l *link) close() {
+	l.pool.close()
+	l.transport.CloseIdleConnections()
+}
 
 // dialError marks the failures after which no connection existed.
 type dialError struct{ cause error }
@@ -75,6 +80,18 @@
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	// places gets the connection's place back when it is closed.
+	places chan struct{}
+	closed atomic.Bool
+}
+
+// Close closes the connection and gives its place back once.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	if c.closed.CompareAndSwap(false, true) {
+		<-c.places
+	}
+	return err
 }
 
 // Write counts what is written. Bytes count from the start of the call, so
@@ -152,20 +169,38 @@
 	request *http.Request
 	record  sent
 	trace   httptrace.ClientTrace
+	// direct is true when one goroutine can send the request and then read
+	// the answer, because no body has to be sent meanwhile.
+	direct bool
 }
 
 // send carries out one round trip. It never sends the request a second time.
 func (l *link) send(s *sending) sendResult {
-	response, err := l.transport.RoundTrip(s.request)
-	if err == nil {
-		if err := gather(response); err != nil {
+	result, done := sendResult{}, false
+	if s.direct {
+		result, done = l.sendDirect(s)
+	}
+	if !done {
+		result = l.sendTransport(s)
+	}
+	if result.err == nil {
+		if err := gather(result.response); err != nil {
 			return sendResult{err: err, wrote: true}
 		}
+	}
+	return result
+}
+
+func (l *link) sendTransport(s *sending) sendResult {
+	s.trace.GotConn = s.record.gotConn
+	ctx := s.request.Context()
+	response, err := l.transport.RoundTrip(s.request.WithContext(httptrace.WithClientTrace(ctx, &s.trace)))
+	if err == nil {
 		return sendResult{response: response, wrote: true}
 	}
 	var dialed *dialError
 	wrote := s.record.any()
-	refused := errors.As(err, &dialed) && !wrote && s.request.Context().Err() == nil
+	refused := errors.As(err, &dialed) && !wrote && ctx.Err() == nil
 	return sendResult{err: err, wrote: wrote, refused: refused}
 }
 
@@ -192,9 +227,8 @@
 // key in a spelling that http.Transport does not look for prevent that.
 // The number of headers that are added makes room for them in the header map.
 func newSending(ctx context.Context, r *http.Request, address string, src *source, body *attemptBody, added int) *sending {
-	s := &sending{}
-	s.trace.GotConn = s.record.gotConn
-	out := blank.WithContext(httptrace.WithClientTrace(ctx, &s.trace))
+	s := &sending{direct: src.empty() && r.Method != http.MethodConnect}
+	out := blank.WithContext(ctx)
 	s.request = out
 	out.Method, out.URL, out.Host = r.Method, cloneURL(r, address), r.Host
 	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
