--- a/internal/proxy/direct_test.go
+++ b/internal/proxy/direct_test.go
@@ -226,6 +226,26 @@
 	})
 })
 
+// Guards against a call that gets the rest of an earlier answer, which was not
+// read to its end because the call was repeated at another daemon.
+var _ = It("does not use the connection of a long answer that was given up", func() {
+	const sentBytes, statedBytes = 16 << 10, 100_000
+	answer := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		proxy.OutcomeHeader, proxy.NotRun, statedBytes, strings.Repeat("x", sentBytes))
+	s := newScripted(answering(true, answer))
+	m := newMesh(model.Route{}, &counter{}, &counter{})
+	DeferCleanup(m.close)
+	config := m.config()
+	config.Endpoints[0].InboundAddress = s.listener.Addr().String()
+	m.outbound.Update(config)
+	for s.requests.Load() < 3 {
+		Expect(m.do(m.request("GET", "/", "")).StatusCode).To(Equal(200))
+		// The retry budget allows 3 retries a second.
+		time.Sleep(400 * time.Millisecond)
+	}
+	Expect(s.opened.Load()).To(Equal(s.requests.Load()))
+})
+
 // Guards against more connections than the target announced, and against calls
 // that wait for ever because idle connections of the other kind hold all places.
 var _ = DescribeTable("calls with and without a body share the target's connections", func(connections uint32) {
--- a/internal/proxy/suite_test.go
+++ b/internal/proxy/suite_test.go
@@ -90,18 +90,26 @@
 
 // update puts the mesh's fields in force.
 func (m *mesh) update() {
+	config := m.config()
+	for i, n := range m.nodes {
+		n.inbound.SetTarget(config.Endpoints[i].Target)
+	}
+	m.outbound.Update(config)
+}
+
+// config returns the configuration with an endpoint for each node.
+func (m *mesh) config() *routing.Config {
 	config := &routing.Config{State: m.state, Steps: m.steps}
 	for _, n := range m.nodes {
 		target := member.Target{
 			Service: "order", Version: n.version, Address: n.target.Listener.Addr().String(), Slots: m.slots, Connections: 110,
 		}
-		n.inbound.SetTarget(target)
 		config.Endpoints = append(config.Endpoints, member.Endpoint{
 			VM: n.vm, Incarnation: 1, State: member.Ready, Domain: "a",
 			InboundAddress: n.front.Listener.Addr().String(), Target: target,
 		})
 	}
-	m.outbound.Update(config)
+	return config
 }
 
 // moveTo makes the last node v2 and moves the service to it.
