Test that an idle connection gives its place to a call with a body

A scratch copy that did not close idle connections for a waiting dial passed the tests under load, because busy connections gave their places up. With a single place and calls in sequence it fails.

--- a/internal/proxy/direct_test.go
+++ b/internal/proxy/direct_test.go
@@ -246,6 +246,16 @@
 	Expect(s.opened.Load()).To(Equal(s.requests.Load()))
 })
 
+// Guards against a call with a body that waits for its deadline, because an idle
+// connection for calls without one holds the last place.
+var _ = It("gives the place of an idle connection to a call with a body", func() {
+	m, _ := scriptedMesh(model.Route{Timeout: time.Second}, 1, answering(true, okAnswer))
+	for range 3 {
+		Expect(m.do(m.request("GET", "/", "")).StatusCode).To(Equal(200))
+		Expect(m.do(m.request("PUT", "/", "x")).StatusCode).To(Equal(200))
+	}
+})
+
 // Guards against more connections than the target announced, and against calls
 // that wait for ever because idle connections of the other kind hold all places.
 var _ = DescribeTable("calls with and without a body share the target's connections", func(connections uint32) {
