Offer a setting that runs a quiet daemon on one processor

Cause: a goroutine that becomes ready wakes an idle thread while processors are free, and that thread mostly finds nothing to do. With one processor it cannot.

The default stays "all", because the tail suffers where the processor is contended.

On a quiet machine the setting was not measured.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,9 @@
 	go d.loop.run()
 	go d.targets.Run(ctx)
 	go d.sample(ctx)
+	if d.settings.Limits.Processors == settings.AdaptiveProcessors {
+		go newProcessors().adapt(ctx)
+	}
 	return d.servers.serve()
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -74,6 +74,7 @@
 	size("limits", "bulk_bytes_per_second", minBulkBytes, maxBulkBytes, func(s *Settings) *int64 { return &s.Limits.BulkBytesPerSecond }),
 	size("limits", "max_header_bytes", minHeaderBytes, maxHeaderBytes, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes }),
 	number("limits", "retry_percent", 0, maxPercent, func(s *Settings) *int { return &s.Limits.RetryPercent }),
+	choice("limits", "processors", []string{AllProcessors, AdaptiveProcessors}, func(s *Settings) *string { return &s.Limits.Processors }),
 
 	duration("timeouts", "lease", func(s *Settings) *time.Duration { return &s.Timeouts.Lease }),
 	duration("timeouts", "lease_renew", func(s *Settings) *time.Duration { return &s.Timeouts.LeaseRenew }),
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -61,6 +61,13 @@
 		Expect(s.Log).To(Equal(settings.Default().Log))
 	})
 
+	It("takes the choices of processors and no other, guarding against a number that is taken for one", func() {
+		s, err := settings.Parse([]byte(edited("# processors = all", "processors = adaptive")), "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Limits.Processors).To(Equal(settings.AdaptiveProcessors))
+		Expect(findings(edited("# processors = all", "processors = 2"))).To(ContainElement(ContainSubstring(`"2" is not one of all, adaptive`)))
+	})
+
 	It("refuses a missing file and a directory with a typed failure", func() {
 		_, err := settings.Load(filepath.Join(GinkgoT().TempDir(), "none.ini"))
 		Expect(fault.KindOf(err)).To(Equal(fault.NotFound))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,8 +88,17 @@
 	MaxHeaderBytes int
 	// RetryPercent is the retry budget, in percent of a service's requests.
 	RetryPercent int
+	// Processors is "all" or "adaptive": one while the daemon is quiet and all
+	// while it is busy.
+	Processors string
 }
 
+// Values of Limits.Processors.
+const (
+	AllProcessors      = "all"
+	AdaptiveProcessors = "adaptive"
+)
+
 // Timeouts holds the periods of the control plane.
 type Timeouts struct {
 	// Lease is how long the controller lease must stand still before another
@@ -127,6 +136,7 @@
 			BulkBytesPerSecond: 64 * kibibyte,
 			MaxHeaderBytes:     64 * kibibyte,
 			RetryPercent:       10,
+			Processors:         AllProcessors,
 		},
 		Timeouts: Timeouts{
 			Lease:        4 * time.Second,
