--- a/test/bench/fastpath_compare.go
+++ b/test/bench/fastpath_compare.go
@@ -75,7 +75,7 @@
 
 func olderMesh(o *Options, dir string) (*mesh, error) {
 	older := *o
-	older.Bin = o.Against
+	older.Bin, older.Processors = o.Against, ""
 	m, err := newMesh(&older, dir)
 	if err != nil {
 		return nil, err
--- a/test/bench/mesh.go
+++ b/test/bench/mesh.go
@@ -70,7 +70,11 @@
 
 // newMesh starts the stand-in of the platform, and no daemon.
 func newMesh(o *Options, dir string) (*mesh, error) {
-	f, err := fleet.New(fleet.Config{Bin: o.Bin, Dir: dir})
+	config := fleet.Config{Bin: o.Bin, Dir: dir}
+	if o.Processors != "" {
+		config.Settings = "[limits]\nprocessors = " + o.Processors
+	}
+	f, err := fleet.New(config)
 	if err != nil {
 		return nil, err
 	}
--- a/test/bench/result.go
+++ b/test/bench/result.go
@@ -21,6 +21,8 @@
 	Bin string `json:"bin"`
 	// Against is the directory of the binaries that the comparison is with.
 	Against string `json:"against,omitempty"`
+	// Processors is the setting of the daemons of Bin; empty keeps the default.
+	Processors string `json:"processors,omitempty"`
 	// Out takes the raw results.
 	Out string `json:"-"`
 	// Sizes are the numbers of daemons of the distribution part.
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -57,6 +57,7 @@
 	flags := []cli.Flag{
 		&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the binaries"},
 		&cli.StringFlag{Name: "against", Usage: "`DIRECTORY` of older binaries; only the comparison of the request path runs"},
+		&cli.StringFlag{Name: "processors", Usage: "`VALUE` of the setting \"[limits] processors\" of the daemons, but not of older ones"},
 		&cli.StringFlag{Name: "out", Value: "bench-results", Usage: "`DIRECTORY` for the raw results"},
 		&cli.IntSliceFlag{Name: "sizes", Value: []int{10, 25, 50, 100}, Usage: "numbers of daemons of the distribution part"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the choice of daemons to restart"},
@@ -72,7 +73,8 @@
 
 func run(_ context.Context, c *cli.Command) error {
 	o := &bench.Options{
-		Bin: c.String("bin"), Against: c.String("against"), Out: c.String("out"), Sizes: c.IntSlice("sizes"), Seed: c.Uint64("seed"),
+		Bin: c.String("bin"), Against: c.String("against"), Processors: c.String("processors"),
+		Out: c.String("out"), Sizes: c.IntSlice("sizes"), Seed: c.Uint64("seed"),
 		Commit: c.String("commit"), Repeats: c.Int("repeats"), Keep: c.Bool("keep"),
 	}
 	for _, n := range o.Sizes {
