Make the tests of direct connections independent of the load

The tests waited 20 ms for the target to close a connection, and cancelled a call 100 ms after its start, although on a busy machine the target may not have run by then. They now wait until the target has answered, and cancel from the target.

--- a/internal/proxy/direct_test.go
+++ b/internal/proxy/direct_test.go
@@ -26,6 +26,9 @@
 	listener net.Listener
 	opened   atomic.Int64
 	requests atomic.Int64
+	// answered counts the answers; a connection that ends with one was closed
+	// before.
+	answered atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -101,7 +104,12 @@
 		}
 		s.requests.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
-		if !answer(c, r) {
+		stays := answer(c, r)
+		if !stays {
+			s.forget(c)
+		}
+		s.answered.Add(1)
+		if !stays {
 			return
 		}
 	}
@@ -159,11 +167,12 @@
 	// about to close: its outcome would be unknown and it would not be retried.
 	DescribeTable("are not used again", func(answer answerFunc) {
 		m, s := scriptedMesh(model.Route{}, 110, answer)
-		for range 5 {
+		for i := range 5 {
 			reply := m.do(m.request("POST", "/", ""))
 			Expect(reply.StatusCode).To(Equal(200))
 			Expect(reply.body).To(Equal("ok"))
-			// The end of the connection reaches the daemon meanwhile.
+			Eventually(s.answered.Load).WithTimeout(patience).Should(Equal(int64(i + 1)))
+			// The kernel may hand the end of the connection over later.
 			time.Sleep(20 * time.Millisecond)
 		}
 		Expect(s.opened.Load()).To(Equal(int64(5)))
@@ -176,8 +185,8 @@
 		Entry("when bytes follow the answer", answering(true, okAnswer+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")),
 		Entry("when bytes come while they are idle", answerFunc(func(c net.Conn, r *http.Request) bool {
 			answering(true, okAnswer)(c, r)
-			time.AfterFunc(5*time.Millisecond, func() { _, _ = io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\n\r\n") })
-			return true
+			time.Sleep(20 * time.Millisecond)
+			return answering(true, "HTTP/1.1 408 Request Timeout\r\n\r\n")(c, r)
 		})),
 	)
 
@@ -193,14 +202,14 @@
 	// left, before the answer and within it.
 	DescribeTable("are closed when the caller leaves", func(begin string) {
 		gone := make(chan struct{})
+		ctx, cancel := context.WithCancel(context.Background())
 		m, _ := scriptedMesh(model.Route{}, 110, func(c net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(c, begin)
+			time.AfterFunc(50*time.Millisecond, cancel)
 			_, _ = c.Read(make([]byte, 1))
 			close(gone)
 			return false
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		time.AfterFunc(100*time.Millisecond, cancel)
 		response, err := m.client.Do(m.request("GET", "/", "").WithContext(ctx))
 		if err == nil {
 			_, err = io.ReadAll(response.Body)
