--- a/test/bench/result.go
+++ b/test/bench/result.go
@@ -19,6 +19,10 @@
 type Options struct {
 	// Bin is the directory of the binaries.
 	Bin string `json:"bin"`
+	// Against is the directory of the binaries that the comparison is with.
+	Against string `json:"against,omitempty"`
+	// Processors is the setting of the daemons of Bin; empty keeps the default.
+	Processors string `json:"processors,omitempty"`
 	// Out takes the raw results.
 	Out string `json:"-"`
 	// Sizes are the numbers of daemons of the distribution part.
