Stop claiming a member that announces itself elsewhere

A relay forgets which child a member was heard of through when that child's link goes down, but not when the member left the child's subtree. When the relay attached again it claimed the member with its newest entry, the controller counted it there, and the acknowledgement of the subtree that it had moved to was cut down to one member less than it has, for good.

What a member announces comes from below first as long as it is in the subtree. So a later announcement that comes from the parent means that the member has moved, and the relay forgets it.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -112,6 +112,9 @@
 	if ok && !e.Newer(&known) {
 		return true
 	}
+	if p := n.tree.parent; p != nil && p.id == from && e.LaterThan(&known) {
+		n.tree.movedAway(e.VM)
+	}
 	if n.members.Lacks(e) {
 		return false
 	}
--- a/internal/core/presence.go
+++ b/internal/core/presence.go
@@ -47,6 +47,13 @@
 	return true
 }
 
+// movedAway notes that the member left the subtree. What a member of the
+// subtree announces comes from below first, so an announcement that comes from
+// the parent was made elsewhere. Without this, a relay whose child had lost the
+// member went on claiming it, and the controller missed it in the subtree that
+// it had moved to.
+func (p *presence) movedAway(vm string) { delete(p.via, vm) }
+
 // childGone notes that the child and the members behind its link are missing.
 func (p *presence) childGone(vm string, id peer.LinkID, now time.Time) {
 	for other, via := range p.via {
--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -78,6 +78,12 @@
 	) > 0
 }
 
+// LaterThan reports whether the daemon announced e after other. A relay that
+// marks an endpoint lost changes the state only.
+func (e *Endpoint) LaterThan(other *Endpoint) bool {
+	return cmp.Or(cmp.Compare(e.Incarnation, other.Incarnation), cmp.Compare(e.Sequence, other.Sequence)) > 0
+}
+
 // partial reports whether the entry came without its description.
 func (e *Endpoint) partial() bool { return e.PeerAddress == "" }
 
