--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -77,6 +77,7 @@
 			return
 		}
 	}
+	n.noteContest(id, e, ok && !e.Newer(&known))
 	// A newer entry is passed on once it is merged.
 	if n.tree.heardThrough(e.VM, id) && ok && !e.Newer(&known) {
 		n.tree.markDirty(e.VM, id, false)
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -142,6 +142,8 @@
 	// offPlatform tells which daemons cannot reach the platform.
 	offPlatform func(d *fakeDaemon) bool
 	faults      []string
+	// delay is how long an event takes to the daemon; nil means linkDelay.
+	delay func(to *fakeDaemon) time.Duration
 	// traffic counts the frames' bytes while a test measures; otherwise nil.
 	traffic *traffic
 }
@@ -234,7 +236,11 @@
 }
 
 func (m *mesh) deliver(to *fakeDaemon, ev core.Event) {
-	m.queue = append(m.queue, delivery{at: m.now.Add(linkDelay), to: to, life: to.starts, ev: ev})
+	delay := linkDelay
+	if m.delay != nil {
+		delay = m.delay(to)
+	}
+	m.queue = append(m.queue, delivery{at: m.now.Add(delay), to: to, life: to.starts, ev: ev})
 }
 
 // run lets simulated time pass in steps of a tick.
--- a/internal/core/presence.go
+++ b/internal/core/presence.go
@@ -15,6 +15,9 @@
 	via map[string]peer.LinkID
 	// missing holds members whose link went down, and since when.
 	missing map[string]time.Time
+	// contested holds members that two children claimed with the same entry,
+	// and since when.
+	contested map[string]time.Time
 	// dirty holds changed endpoints to pass on.
 	dirty map[string]dirtyEntry
 	// held holds new children without a target, which are passed on later.
@@ -26,6 +29,7 @@
 func (p *presence) init() {
 	p.via = map[string]peer.LinkID{}
 	p.missing = map[string]time.Time{}
+	p.contested = map[string]time.Time{}
 	p.dirty = map[string]dirtyEntry{}
 	p.held = map[string]heldEntry{}
 }
@@ -116,6 +120,7 @@
 // tickMembers gives up members that stayed away and forgets old ones.
 func (n *Node) tickMembers() {
 	n.markMissing()
+	n.settleContests()
 	n.sweepUnclaimed()
 	expired := n.members.Expire(n.now, n.cfg.Timings.MemberExpiry, keepGone)
 	if n.isController() {
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -112,6 +112,56 @@
 		Expect(cold(2 * time.Second)).To(BeTrue())
 	})
 
+	// Guards against a version that fails under load and is found only as late
+	// as one whose fault begins at any other time.
+	It("finds a fault that begins with a step sooner", func() {
+		found := func(seed uint64, step int) int {
+			rng := rand.New(rand.NewPCG(seed, 6))
+			j := move.NewSequentialJudge(move.FalseAlarmBound)
+			for i := range 200 {
+				stage, fresh := move.Stage{Permille: 50, Targets: eight}, usual
+				if i >= step {
+					stage.Permille = 100
+				}
+				if i >= 100 {
+					fresh = behaviour{errors: 0.1, mean: 20 * time.Millisecond}
+				}
+				j.Observe(start.Add(time.Duration(i+1)*move.SampleInterval), stage, []move.Sample{
+					draw(rng, key("lookup", false), 190, usual), draw(rng, key("lookup", true), 10, fresh),
+				})
+				if j.Verdict().Bad {
+					return i
+				}
+			}
+			return 200
+		}
+		with, without := 0, 0
+		for seed := range uint64(40) {
+			with += found(seed, 100)
+			without += found(seed, 50)
+		}
+		Expect(with).To(BeNumerically("<", without))
+	})
+
+	// Guards against an idle service whose few old requests pass for the old
+	// version's latency, seen with order-good-idle.
+	It("does not measure slowness by a handful of old requests", func() {
+		for seed := range uint64(200) {
+			rng := rand.New(rand.NewPCG(seed, 8))
+			j := move.NewSequentialJudge(move.FalseAlarmBound)
+			for i := range 200 {
+				old, fresh, permille := 0, 1, uint32(1000)
+				if i < 3 {
+					old, fresh, permille = 1, 0, 50
+				}
+				j.Observe(start.Add(time.Duration(i+1)*10*time.Second), move.Stage{Permille: permille, Targets: eight}, []move.Sample{
+					draw(rng, key("lookup", false), old, usual), draw(rng, key("lookup", true), fresh, usual),
+				})
+			}
+			Expect(j.Verdict().Bad).To(BeFalse(), "seed %d: %s", seed, j.Verdict().Reason)
+		}
+	})
+
 	// Guards against proof without evidence.
 	It("has no negative doubt without requests of the new version", func() {
 		j := move.NewSequentialJudge(move.FalseAlarmBound)
@@ -144,4 +194,29 @@
 		_, set = b.Set()
 		Expect(set).To(BeTrue())
 	})
+
+	// Guards against a bad version that keeps half of the traffic for the
+	// whole of a control outage, because each daemon waits for the controller.
+	It("sets sooner on a daemon that is cut off", func() {
+		intervals := func(cutOff bool) int {
+			b := move.NewBrake(nil)
+			rng := rand.New(rand.NewPCG(7, 7))
+			for i := range 200 {
+				fresh := usual
+				if i >= 50 {
+					fresh = behaviour{errors: 0.3, mean: 20 * time.Millisecond}
+				}
+				stage := move.Stage{Permille: 500, Targets: eight, CutOff: cutOff}
+				b.Observe(start.Add(time.Duration(i)*move.SampleInterval), stage, []move.Sample{
+					draw(rng, key("lookup", false), 50, usual), draw(rng, key("lookup", true), 50, fresh),
+				})
+				if _, set := b.Set(); set {
+					return i - 50
+				}
+			}
+			return 200
+		}
+		Expect(intervals(true)).To(BeNumerically("<=", 6))
+		Expect(intervals(false)).To(BeNumerically(">", 12))
+	})
 })
