Pass on a lost child that is back without waiting for its target

The wait for the target of a new child also applied to a lost child that came back: its entry is short, so it looked as if it had no target, and its lost state made it look new.

The wait now needs a new incarnation, and looks at the merged entry.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -130,14 +130,17 @@
 	return true
 }
 
-// joins reports whether the entry is of a new child that has no target yet.
-// One that takes the place of a live entry is passed on at once, since the
-// target of that entry is gone.
+// joins reports whether the entry is of a new start of a child that has no
+// target yet. One that takes the place of a live entry is passed on at once,
+// since the target of that entry is gone, and so is a lost child that is back.
 func (n *Node) joins(from peer.LinkID, e, known *member.Endpoint) bool {
 	c := n.tree.children[from]
 	_, pending := n.tree.dirty[e.VM]
-	return c != nil && c.vm == e.VM && !pending && e.State == member.Ready && e.Target.Service == "" &&
-		(known.VM == "" || known.State >= member.Lost)
+	if c == nil || c.vm != e.VM || pending || e.State != member.Ready || e.Incarnation == known.Incarnation {
+		return false
+	}
+	merged, _ := n.members.Get(e.VM)
+	return merged.Target.Service == "" && (known.VM == "" || known.State >= member.Lost)
 }
 
 // flushEndpoints sends the changed entries to every neighbor but the one they
