Measure cuts between running regions, delays, and the statement of being in force

The cut of part distribution freezes a failure domain, so nothing was known about daemons that run on behind a cut, about delays between regions, or about the time until the controller itself states that a revision is in force.

Part partition starts 70 daemons with a forwarder for each pair (test/faults) and one counting front of the platform for each region, and cuts the regions twice: for two minutes with a platform for both, and for one minute without a platform for the controller's region. Part delay has 100 daemons, 1 ms one way between domains, 30 ms between regions (chosen) and 3 ms for each platform call. All convergence figures also have the time until revision-in-force.

The test of the convergence now also checks statements; no check was removed.

--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -41,11 +41,16 @@
 			"fast": {at(5, 1), at(6, 2)}, "snapshot": {at(40, 2)}, "stuck": {at(5, 1)},
 		}
 		tickets := []accepted{{ticket: 1, revision: 1}, {ticket: 2, revision: 2}}
-		c := summarize(tickets, map[uint64]time.Time{1: start, 2: start}, applied)
+		seen := &observed{accepted: map[uint64]time.Time{1: start, 2: start}, applied: applied}
+		seen.stated = []timeline.Event{at(90, 2), at(50, 1)}
+		c := summarize(tickets, seen)
 		Expect(c.Missing).To(Equal(1))
 		Expect(c.Everywhere.Count).To(Equal(int64(2)))
 		Expect(c.Everywhere.Max).To(BeNumerically("~", 40, 0.1))
 		Expect(c.Proxy.Count).To(Equal(int64(5)))
+		// The statements of two controllers need not be in the order of time.
+		Expect(c.Stated.P50).To(BeNumerically("~", 50, 0.1))
+		Expect(c.Stated.Max).To(BeNumerically("~", 90, 0.1))
 	})
 
 	// Guards against bytes and processor time that vanish when a daemon
@@ -75,6 +80,28 @@
 		Expect(p.CPUMost).To(BeNumerically("~", 10, 0.001))
 	})
 
+	// Guards against a limit of writes that lets reads use it up, or that
+	// counts operations in place of items.
+	It("bounds the items that the platform takes in a second", func() {
+		f := &platformFront{}
+		f.setWriteLimit(3)
+		two := []byte(`{"TransactItems":[{},{}]}`)
+		Expect(f.admit("POST", "GetItem", nil)).To(Equal(frontPassed))
+		Expect(f.admit("POST", "TransactWriteItems", two)).To(Equal(frontPassed))
+		Expect(f.admit("POST", "TransactWriteItems", two)).To(Equal(frontThrottled))
+		Expect(f.admit("POST", "PutItem", nil)).To(Equal(frontPassed))
+		Expect(f.counted()).To(Equal(FrontCount{Reads: 1, WriteCalls: 2, Writes: 3, Throttled: 1}))
+	})
+
+	// Guards against repeats that are listed one after another, and against a
+	// burst that is counted over a window that is too long.
+	It("joins repeats, and finds the densest second", func() {
+		rows := medians([][]Row{{{Name: "a", Measured: 3}}, {{Name: "a", Measured: 1}}, {{Name: "a", Measured: 2}}})
+		Expect(rows).To(Equal([]Row{{Name: "a", Measured: 2, Note: "1 to 3 in 3 repeats"}}))
+		at := func(ms int64) time.Time { return time.UnixMilli(ms) }
+		Expect(mostWithin([]time.Time{at(2500), at(0), at(900), at(1700), at(1800)}, time.Second)).To(Equal(3))
+	})
+
 	// Guards against a wrong field of /proc/PID/stat when the name of the
 	// process contains spaces or parentheses.
 	It("reads processor times behind any process name", func() {
--- a/test/bench/converge.go
+++ b/test/bench/converge.go
@@ -51,10 +51,15 @@
 	Tickets int `json:"tickets"`
 	// Everywhere is the time until the last proxy had the ticket, per ticket.
 	Everywhere Quantiles `json:"everywhere"`
+	// Stated is the time until the controller states that all reachable
+	// daemons have acknowledged the ticket, per ticket.
+	Stated Quantiles `json:"stated"`
 	// Proxy is the time per ticket and proxy.
 	Proxy Quantiles `json:"proxy"`
 	// Missing counts pairs of ticket and proxy without effect.
 	Missing int `json:"missing"`
+	// Unstated counts tickets without a statement.
+	Unstated int `json:"unstated"`
 	// Rate is the number of tickets a day at the rate of the run.
 	Rate float64 `json:"tickets_per_day"`
 }
@@ -80,23 +85,40 @@
 // its daemon learned of the commit, and takes effect on a proxy in the step
 // that applies its revision or a later one. All clocks are of one machine.
 func (m *mesh) converge(tickets []accepted) (Convergence, error) {
-	times := map[uint64]time.Time{}
-	applied := map[string][]timeline.Event{}
+	return m.convergeOn(tickets, m.vms)
+}
+
+// convergeOn is converge with only the effects on some VMs.
+func (m *mesh) convergeOn(tickets []accepted, vms []*fleet.VM) (Convergence, error) {
+	seen := observed{accepted: map[uint64]time.Time{}, applied: map[string][]timeline.Event{}}
 	for _, vm := range m.vms {
 		events, err := m.events(vm)
 		if err != nil {
 			return Convergence{}, err
 		}
-		for i := range events {
-			switch events[i].Kind {
-			case timeline.RevisionApplied:
-				applied[vm.Name] = append(applied[vm.Name], events[i])
-			case timeline.TicketAccepted:
-				times[events[i].Ticket] = events[i].At
-			}
+		seen.add(vm.Name, events, slices.Contains(vms, vm))
+	}
+	return summarize(tickets, &seen), nil
+}
+
+// observed holds the events of all daemons that convergence is made from.
+type observed struct {
+	accepted map[uint64]time.Time
+	applied  map[string][]timeline.Event
+	stated   []timeline.Event
+}
+
+func (o *observed) add(vm string, events []timeline.Event, effects bool) {
+	for i := range events {
+		switch {
+		case events[i].Kind == timeline.RevisionApplied && effects:
+			o.applied[vm] = append(o.applied[vm], events[i])
+		case events[i].Kind == timeline.RevisionInForce:
+			o.stated = append(o.stated, events[i])
+		case events[i].Kind == timeline.TicketAccepted:
+			o.accepted[events[i].Ticket] = events[i].At
 		}
 	}
-	return summarize(tickets, times, applied), nil
 }
 
 func (m *mesh) events(vm *fleet.VM) ([]timeline.Event, error) {
@@ -107,17 +129,19 @@
 	return client.Timeline(m.ctx, admin.TimelineFilter{})
 }
 
-func summarize(tickets []accepted, times map[uint64]time.Time, applied map[string][]timeline.Event) Convergence {
-	everywhere, proxy := newHistogram(), newHistogram()
+func summarize(tickets []accepted, seen *observed) Convergence {
+	everywhere, proxy, stated := newHistogram(), newHistogram(), newHistogram()
 	result := Convergence{Tickets: len(tickets)}
+	slices.SortFunc(seen.stated, func(a, b timeline.Event) int { return a.At.Compare(b.At) })
 	for _, t := range tickets {
-		start, ok := times[t.ticket]
+		start, ok := seen.accepted[t.ticket]
 		if !ok {
-			result.Missing += len(applied)
+			result.Missing += len(seen.applied)
+			result.Unstated++
 			continue
 		}
 		var last time.Duration
-		for _, events := range applied {
+		for _, events := range seen.applied {
 			at, ok := effectOf(events, t.revision)
 			if !ok {
 				result.Missing++
@@ -127,9 +151,15 @@
 			last = max(last, at.Sub(start))
 		}
 		record(everywhere, last)
+		if at, ok := effectOf(seen.stated, t.revision); ok {
+			record(stated, at.Sub(start))
+		} else {
+			result.Unstated++
+		}
 	}
 	result.Everywhere = quantiles(everywhere)
 	result.Proxy = quantiles(proxy)
+	result.Stated = quantiles(stated)
 	return result
 }
 
--- /dev/null
+++ b/test/bench/delay.go
@@ -0,0 +1,92 @@
+package bench
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/test/faults"
+	"github.com/magnoliamount/magnoliamount/test/standin"
+)
+
+// Course of the measurement with delays.
+const (
+	delayDaemons = 100
+	delayTickets = 40
+	// domainDelay is within the design's 0.5 to 1.5 ms one way; the
+	// forwarder has whole milliseconds.
+	domainDelay = time.Millisecond
+	// regionDelay is chosen; the design names none.
+	regionDelay = 30 * time.Millisecond
+	// platformMillis is chosen for each answer of the platform.
+	platformMillis = 3
+)
+
+// Delay is the raw result of the part.
+type Delay struct {
+	Daemons     int         `json:"daemons"`
+	DomainDelay string      `json:"one_way_between_domains"`
+	RegionDelay string      `json:"one_way_between_regions"`
+	Changes     Phase       `json:"changes"`
+	Convergence Convergence `json:"convergence"`
+}
+
+// MeasureDelay measures convergence with delays between domains and regions.
+func MeasureDelay(o *Options, dir string) ([]Row, any, error) {
+	d := &Delay{Daemons: delayDaemons, DomainDelay: domainDelay.String(), RegionDelay: regionDelay.String()}
+	m, err := startMeshOf(o, filepath.Join(dir, "mesh"), meshConfig{daemons: d.Daemons, network: true})
+	if err != nil {
+		return nil, d, err
+	}
+	defer m.close()
+	if err := m.delayLinks(); err != nil {
+		return nil, d, err
+	}
+	if err := m.setUp(); err != nil {
+		return nil, d, err
+	}
+	time.Sleep(settleTime)
+	var tickets []accepted
+	d.Changes, err = newSampler(m).phase("changes", func() error {
+		tickets, err = m.submitMany(delayTickets, ticketInterval)
+		time.Sleep(time.Second)
+		return err
+	})
+	if err != nil {
+		return nil, d, err
+	}
+	d.Convergence, err = m.converge(tickets)
+	return d.rows(), d, err
+}
+
+// delayLinks delays links between domains, more between regions, and the platform.
+func (m *mesh) delayLinks() error {
+	places := map[string][2]string{}
+	for _, vm := range m.vms {
+		places[vm.Name] = [2]string{vm.Domain, vm.Region}
+	}
+	between := func(part int) faults.Links {
+		return func(l faults.Link) bool { return l.To != faults.Platform && places[l.From][part] != places[l.To][part] }
+	}
+	if err := m.network.Set(between(0), faults.Fault{Latency: domainDelay}); err != nil {
+		return err
+	}
+	if err := m.network.Set(between(1), faults.Fault{Latency: regionDelay}); err != nil {
+		return err
+	}
+	return m.platformFaults(standin.Faults{LatencyMillis: platformMillis})
+}
+
+func (d *Delay) rows() []Row {
+	c := d.Convergence
+	note := fmt.Sprintf("%d daemons, %s between domains, %s between regions, one way; platform %d ms; %d tickets, %d effects missing, %d unstated",
+		d.Daemons, d.DomainDelay, d.RegionDelay, platformMillis, c.Tickets, c.Missing, c.Unstated)
+	return []Row{
+		{Name: "applied everywhere, median", Unit: "ms", Measured: c.Everywhere.P50, Target: targetConvergenceMs, Stretch: stretchConvergenceMs, Note: note},
+		{Name: "applied everywhere, 99th", Unit: "ms", Measured: c.Everywhere.P99, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: "applied everywhere, worst", Unit: "ms", Measured: c.Everywhere.Max, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: "stated in force, median", Unit: "ms", Measured: c.Stated.P50, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: "stated in force, 99th", Unit: "ms", Measured: c.Stated.P99, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: "stated in force, worst", Unit: "ms", Measured: c.Stated.Max, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+	}
+}
--- a/test/bench/distribution_rows.go
+++ b/test/bench/distribution_rows.go
@@ -10,6 +10,9 @@
 		{Name: at("in force everywhere, median"), Unit: "ms", Measured: c.Everywhere.P50, Note: note},
 		{Name: at("in force everywhere, 99th"), Unit: "ms", Measured: c.Everywhere.P99, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
 		{Name: at("in force everywhere, worst"), Unit: "ms", Measured: c.Everywhere.Max, Target: targetConvergenceMs},
+		{Name: at("stated in force, median"), Unit: "ms", Measured: c.Stated.P50, Note: fmt.Sprintf("%d tickets without a statement", c.Unstated)},
+		{Name: at("stated in force, 99th"), Unit: "ms", Measured: c.Stated.P99, Target: targetConvergenceMs, Stretch: stretchConvergenceMs},
+		{Name: at("stated in force, worst"), Unit: "ms", Measured: c.Stated.Max, Target: targetConvergenceMs},
 		{Name: at("received per change"), Unit: "B/daemon", Measured: d.PerChange},
 	}
 	rows = append(rows, d.Idle.rows(at("idle"), "")...)
--- a/test/bench/load.go
+++ b/test/bench/load.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -36,6 +38,8 @@
 	duration time.Duration
 	// deadline is passed on to the daemons, and later answers do not count as good.
 	deadline time.Duration
+	// once gives each call an idempotency key of its own.
+	once bool
 	// body makes the body of a call; nil means none.
 	body func() io.Reader
 }
@@ -50,9 +54,11 @@
 	NotRun  int64 `json:"not_run"`
 	Other   int64 `json:"other"`
 	Skipped int64 `json:"skipped"`
+	// Answers counts the calls that were not good by status and outcome.
+	Answers map[string]int64 `json:"answers,omitempty"`
 }
 
-func newTally() *tally { return &tally{latency: newHistogram()} }
+func newTally() *tally { return &tally{latency: newHistogram(), Answers: map[string]int64{}} }
 
 // run sends the load and adds to the tally. The latency of a call counts from
 // its sending.
@@ -118,6 +124,9 @@
 	if err == nil && l.deadline > 0 {
 		request.Header.Set(proxy.DeadlineHeader, millis(l.deadline))
 	}
+	if err == nil && l.once {
+		request.Header.Set(proxy.KeyHeader, rand.Text())
+	}
 	return request, err
 }
 
@@ -125,6 +134,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Sent++
+	if err != nil {
+		t.Answers["no answer"]++
+	} else if response.StatusCode != http.StatusOK {
+		t.Answers[fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get(proxy.OutcomeHeader))]++
+	}
 	switch {
 	case err == nil && response.StatusCode == http.StatusOK:
 		t.Good++
--- a/test/bench/mesh.go
+++ b/test/bench/mesh.go
@@ -13,7 +13,9 @@
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
+	"github.com/magnoliamount/magnoliamount/test/faults"
 	"github.com/magnoliamount/magnoliamount/test/fleet"
+	"github.com/magnoliamount/magnoliamount/test/standin"
 	"github.com/magnoliamount/magnoliamount/test/target"
 )
 
@@ -46,17 +48,29 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	http   *http.Client
+	// network is between the daemons, or nil.
+	network *faults.Network
+	fronts  []*platformFront
+	pids    sync.Map
+	// place of the targets.
+	place place
 	// frozen VMs are not announced; a stopped daemon does not answer.
 	frozen sync.Map
 }
 
+// place says which service and version the target of a VM is of.
+type place func(i int) (service, version string)
+
+// usualPlace spreads the targets over all services.
+func usualPlace(i int) (string, string) { return serviceName(i), "v1" }
+
 func domainOf(i int) string { return fmt.Sprintf("domain-%d", i%domains+1) }
 
 func regionOf(i int) string {
 	if i%domains < firstRegion {
-		return "region-1"
+		return regions[0]
 	}
-	return "region-2"
+	return regions[1]
 }
 
 func serviceName(i int) string { return fmt.Sprintf("service-%02d", i%services) }
@@ -68,30 +82,6 @@
 
 func vmName(i int) string { return fmt.Sprintf("vm-%03d", i) }
 
-// startMesh starts n daemons and waits until all serve.
-func startMesh(o *Options, dir string, n int) (*mesh, error) {
-	f, err := fleet.New(fleet.Config{Bin: o.Bin, Dir: dir})
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	m := &mesh{fleet: f, ctx: ctx, cancel: cancel, http: &http.Client{Timeout: announceTimeout}}
-	for i := range n {
-		vm, err := f.AddVM(fleet.VMConfig{Name: vmName(i), Domain: domainOf(i), Region: regionOf(i), IP: addressOf(i)})
-		if err != nil {
-			m.close()
-			return nil, err
-		}
-		m.vms = append(m.vms, vm)
-		time.Sleep(startPause)
-	}
-	if err := m.waitReady(); err != nil {
-		m.close()
-		return nil, err
-	}
-	return m, nil
-}
-
 func (m *mesh) waitReady() error {
 	ctx, cancel := context.WithTimeout(m.ctx, readyTimeout)
 	defer cancel()
@@ -101,6 +91,12 @@
 func (m *mesh) close() {
 	m.cancel()
 	m.fleet.Close()
+	if m.network != nil {
+		m.network.Close()
+	}
+	for _, f := range m.fronts {
+		f.close()
+	}
 }
 
 // setUp accepts the services and routes of the design's size and announces
@@ -156,8 +152,9 @@
 // announce plays the target beside a daemon until the end of the mesh.
 func (m *mesh) announce(i int) {
 	vm := m.vms[i]
+	service, version := m.place(i)
 	body, _ := json.Marshal(target.Announcement{
-		Service: serviceName(i), Version: "v1", Address: vm.TargetAddress, Slots: slotsPerTarget, Connections: connections,
+		Service: service, Version: version, Address: vm.TargetAddress, Slots: slotsPerTarget, Connections: connections,
 	})
 	ticker := time.NewTicker(target.AnnounceInterval)
 	defer ticker.Stop()
@@ -215,3 +212,12 @@
 	}
 	return nil
 }
+
+// platformFaults sets the behaviour of the stand-in.
+func (m *mesh) platformFaults(f standin.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode faults")
+	}
+	return m.post("http://"+m.fleet.PlatformAddress+"/_standin/faults", body)
+}
--- a/test/bench/result.go
+++ b/test/bench/result.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -29,6 +30,8 @@
 	Commit string `json:"-"`
 	// Repeats is how often noisy parts run.
 	Repeats int `json:"repeats"`
+	// PartRepeats is how often a whole part runs; zero means once.
+	PartRepeats int `json:"part_repeats"`
 	// Keep is true when the logs of the processes stay.
 	Keep bool `json:"-"`
 }
@@ -69,6 +72,8 @@
 type Part struct {
 	Name    string
 	Measure func(*Options, string) (rows []Row, raw any, err error)
+	// Optional parts are too long for a whole run.
+	Optional bool
 }
 
 // othersWindow is how long the load of others is observed before a part.
@@ -87,7 +92,7 @@
 		Part: p.Name, Commit: o.Commit, Seed: o.Seed, Options: *o, Machine: describeMachine(),
 		LoadBefore: loadAverage(), OthersBefore: busyPercent(othersWindow), Started: time.Now(),
 	}
-	rows, raw, measureErr := p.Measure(o, dir)
+	rows, raw, measureErr := p.repeat(o, dir)
 	run.Rows = rows
 	run.Raw = raw
 	run.Took = time.Since(run.Started).Round(time.Second).String()
@@ -104,6 +109,45 @@
 	return run, measureErr
 }
 
+// repeat runs the part as often as the options ask. With more than one repeat
+// the rows are medians with their spread, and the raw result is a list.
+func (p Part) repeat(o *Options, dir string) ([]Row, any, error) {
+	if o.PartRepeats <= 1 {
+		return p.Measure(o, dir)
+	}
+	var all [][]Row
+	var raws []any
+	for i := range o.PartRepeats {
+		rows, raw, err := p.Measure(o, filepath.Join(dir, fmt.Sprintf("repeat-%d", i)))
+		raws = append(raws, raw)
+		all = append(all, rows)
+		if err != nil {
+			return medians(all), raws, err
+		}
+	}
+	return medians(all), raws, nil
+}
+
+// medians joins the rows of the same name in the order of the first repeat.
+func medians(repeats [][]Row) []Row {
+	values := map[string][]float64{}
+	var joined []Row
+	for _, rows := range repeats {
+		for _, row := range rows {
+			if values[row.Name] == nil {
+				joined = append(joined, row)
+			}
+			values[row.Name] = append(values[row.Name], row.Measured)
+		}
+	}
+	for i := range joined {
+		row := &joined[i]
+		row.Measured = median(values[row.Name])
+		row.Note = strings.TrimPrefix(row.Note+"; "+spread(values[row.Name]), "; ")
+	}
+	return joined
+}
+
 func (r *Run) save(dir string) error {
 	encoded, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -45,11 +46,15 @@
 	os.Exit(cutExitCode)
 }
 
+// parts are those of a whole run, in under 10 minutes, and optional ones that
+// run only by their flags.
 func parts() []bench.Part {
 	return []bench.Part{
 		{Name: "fastpath", Measure: bench.MeasureFastPath},
 		{Name: "control", Measure: bench.MeasureControl},
 		{Name: "distribution", Measure: bench.MeasureDistribution},
+		{Name: "delay", Measure: bench.MeasureDelay},
+		{Name: "partition", Measure: bench.MeasurePartition, Optional: true},
 	}
 }
 
@@ -61,10 +66,15 @@
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the choice of daemons to restart"},
 		&cli.StringFlag{Name: "commit", Usage: "measured revision of the source"},
 		&cli.IntFlag{Name: "repeats", Value: 3, Usage: "how often noisy parts run"},
+		&cli.IntFlag{Name: "part-repeats", Value: 1, Usage: "how often each whole part runs; the table has medians"},
 		&cli.BoolFlag{Name: "keep", Usage: "keep the logs of the processes"},
 	}
 	for _, part := range parts() {
-		flags = append(flags, &cli.BoolFlag{Name: part.Name, Usage: "run this part; without any, all run"})
+		usage := "run this part; without any, all but the optional ones run"
+		if part.Optional {
+			usage = "run this optional part"
+		}
+		flags = append(flags, &cli.BoolFlag{Name: part.Name, Usage: usage})
 	}
 	return &cli.Command{Name: "bench", Usage: "measure the system", Flags: flags, Action: run}
 }
@@ -73,6 +83,7 @@
 	o := &bench.Options{
 		Bin: c.String("bin"), Out: c.String("out"), Sizes: c.IntSlice("sizes"), Seed: c.Uint64("seed"),
 		Commit: c.String("commit"), Repeats: c.Int("repeats"), Keep: c.Bool("keep"),
+		PartRepeats: c.Int("part-repeats"),
 	}
 	for _, n := range o.Sizes {
 		if n < 1 || n > maxDaemons {
@@ -97,7 +108,7 @@
 	return failed
 }
 
-// chosen returns the parts that are named by flags, or all.
+// chosen returns the parts that are named by flags, or all that are not optional.
 func chosen(c *cli.Command) []bench.Part {
 	var named []bench.Part
 	for _, part := range parts() {
@@ -105,8 +116,8 @@
 			named = append(named, part)
 		}
 	}
-	if named == nil {
-		return parts()
+	if named != nil {
+		return named
 	}
-	return named
+	return slices.DeleteFunc(parts(), func(p bench.Part) bool { return p.Optional })
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Dir string
 	// Settings is added to every daemon's settings file.
 	Settings string
+	// Peers is added to the section of the peer links, such as TLS files.
+	Peers string
 }
 
 // Fleet is a running mesh.
@@ -172,6 +174,7 @@
 inbound = %s
 [peers]
 token = %s
+%s
 [platform]
 table_endpoint = http://%s
 table = magnoliamount
@@ -184,5 +187,5 @@
 token = %s
 %s
 `, vm.Name, vm.Domain, vm.Region, vm.Caller, vm.Inbound, vm.Peer, vm.Admin, vm.PeerVia, vm.InboundVia,
-		peerToken, f.PlatformVia, f.PlatformVia, adminToken, f.config.Settings)
+		peerToken, f.config.Peers, f.PlatformVia, f.PlatformVia, adminToken, f.config.Settings)
 }
