--- a/test/bench/mesh.go
+++ b/test/bench/mesh.go
@@ -54,6 +54,8 @@
 	pids    sync.Map
 	// place of the targets.
 	place place
+	// targets are the servers of those that answer, by VM.
+	targets sync.Map
 	// frozen VMs are not announced; a stopped daemon does not answer.
 	frozen sync.Map
 }
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -55,6 +55,7 @@
 		{Name: "distribution", Measure: bench.MeasureDistribution},
 		{Name: "delay", Measure: bench.MeasureDelay},
 		{Name: "tls", Measure: bench.MeasureTLS, Optional: true},
+		{Name: "large", Measure: bench.MeasureLarge, Optional: true},
 		{Name: "partition", Measure: bench.MeasurePartition, Optional: true},
 	}
 }
