Measure moves with traffic at all daemons

Steps and evidence were not measured, since they need traffic at many daemons. Part moves has 70 daemons with 10 calls/s each to 11 services with targets of two versions, and takes one move and then ten at once to their outcome.

--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -54,6 +54,7 @@
 		{Name: "control", Measure: bench.MeasureControl},
 		{Name: "distribution", Measure: bench.MeasureDistribution},
 		{Name: "delay", Measure: bench.MeasureDelay},
+		{Name: "moves", Measure: bench.MeasureMoves, Optional: true},
 		{Name: "claims", Measure: bench.MeasureClaims, Optional: true},
 		{Name: "tls", Measure: bench.MeasureTLS, Optional: true},
 		{Name: "large", Measure: bench.MeasureLarge, Optional: true},
