--- a/test/bench/moves.go
+++ b/test/bench/moves.go
@@ -57,6 +57,8 @@
 	if err := m.setUp(); err != nil {
 		return nil, r, err
 	}
+	// Daemons without the endpoints yet would refuse calls.
+	time.Sleep(settleTime)
 	t := m.startTraffic(movedServices, moveRate)
 	time.Sleep(coldTime)
 	s := newSampler(m)
