--- a/test/bench/fastpath_compare.go
+++ b/test/bench/fastpath_compare.go
@@ -76,7 +76,7 @@
 func olderMesh(o *Options, dir string) (*mesh, error) {
 	older := *o
 	older.Bin, older.Processors = o.Against, ""
-	m, err := newMesh(&older, dir)
+	m, err := startMeshOf(&older, dir, meshConfig{})
 	if err != nil {
 		return nil, err
 	}
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,7 +19,7 @@
 const (
 	// maxDaemons keeps a run below 150 processes.
 	maxDaemons = 100
-	// timeLimit bounds a run.
+	// timeLimit bounds a run, for each repeat of its parts.
 	timeLimit = 10 * time.Minute
 	// cutExitCode is the exit code of a run that was ended early.
 	cutExitCode = 2
@@ -27,7 +28,6 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	release := context.AfterFunc(ctx, endEarly)
-	time.AfterFunc(timeLimit, endEarly)
 	err := command().Run(ctx, os.Args)
 	// Ending the notification cancels the context, which is no signal.
 	release()
@@ -41,15 +41,23 @@
 // endEarly ends the process; the kernel kills the processes that it started.
 // The records of finished parts are already written.
 func endEarly() {
-	fmt.Fprintln(os.Stderr, "bench: ended by a signal or after", timeLimit)
+	fmt.Fprintln(os.Stderr, "bench: ended by a signal or after", timeLimit, "for each repeat")
 	os.Exit(cutExitCode)
 }
 
+// parts are those of a whole run, in under 10 minutes, and optional ones that
+// run only by their flags.
 func parts() []bench.Part {
 	return []bench.Part{
 		{Name: "fastpath", Measure: bench.MeasureFastPath},
 		{Name: "control", Measure: bench.MeasureControl},
 		{Name: "distribution", Measure: bench.MeasureDistribution},
+		{Name: "delay", Measure: bench.MeasureDelay},
+		{Name: "moves", Measure: bench.MeasureMoves, Optional: true},
+		{Name: "claims", Measure: bench.MeasureClaims, Optional: true},
+		{Name: "tls", Measure: bench.MeasureTLS, Optional: true},
+		{Name: "large", Measure: bench.MeasureLarge, Optional: true},
+		{Name: "partition", Measure: bench.MeasurePartition, Optional: true},
 	}
 }
 
@@ -63,10 +71,15 @@
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the choice of daemons to restart"},
 		&cli.StringFlag{Name: "commit", Usage: "measured revision of the source"},
 		&cli.IntFlag{Name: "repeats", Value: 3, Usage: "how often noisy parts run"},
+		&cli.IntFlag{Name: "part-repeats", Value: 1, Usage: "how often each whole part runs; the table has medians"},
 		&cli.BoolFlag{Name: "keep", Usage: "keep the logs of the processes"},
 	}
 	for _, part := range parts() {
-		flags = append(flags, &cli.BoolFlag{Name: part.Name, Usage: "run this part; without any, all run"})
+		usage := "run this part; without any, all but the optional ones run"
+		if part.Optional {
+			usage = "run this optional part"
+		}
+		flags = append(flags, &cli.BoolFlag{Name: part.Name, Usage: usage})
 	}
 	return &cli.Command{Name: "bench", Usage: "measure the system", Flags: flags, Action: run}
 }
@@ -76,12 +89,14 @@
 		Bin: c.String("bin"), Against: c.String("against"), Processors: c.String("processors"),
 		Out: c.String("out"), Sizes: c.IntSlice("sizes"), Seed: c.Uint64("seed"),
 		Commit: c.String("commit"), Repeats: c.Int("repeats"), Keep: c.Bool("keep"),
+		PartRepeats: c.Int("part-repeats"),
 	}
 	for _, n := range o.Sizes {
 		if n < 1 || n > maxDaemons {
 			return fault.New(fault.Invalid, "size %d is not 1 to %d", n, maxDaemons)
 		}
 	}
+	time.AfterFunc(timeLimit*time.Duration(max(o.PartRepeats, 1)), endEarly)
 	var runs []*bench.Run
 	var failed error
 	for _, part := range chosen(c) {
@@ -100,7 +115,7 @@
 	return failed
 }
 
-// chosen returns the parts that are named by flags, or all.
+// chosen returns the parts that are named by flags, or all that are not optional.
 func chosen(c *cli.Command) []bench.Part {
 	if c.String("against") != "" {
 		return []bench.Part{{Name: "compare", Measure: bench.MeasureComparison}}
@@ -111,8 +126,8 @@
 			named = append(named, part)
 		}
 	}
-	if named == nil {
-		return parts()
+	if named != nil {
+		return named
 	}
-	return named
+	return slices.DeleteFunc(parts(), func(p bench.Part) bool { return p.Optional })
 }
