Stop the target of a replaced VM after its daemon has ended

The bound on the stop of a bad version in scenarios that cut links is now the length of the cut plus 10 s for the tree and 3 s for the stop.

--- a/test/integration/archive_test.go
+++ b/test/integration/archive_test.go
@@ -34,6 +34,9 @@
 	// archiveMoveTime leaves the bad version unproved until it is judged, also
 	// when a controller must be found first.
 	archiveMoveTime = 60 * time.Second
+	// archiveLinger is short, because no daemon forwards work to the target
+	// that stops.
+	archiveLinger = "1s"
 	// uploadsSeenLimit bounds the time until an upload runs on the VM.
 	uploadsSeenLimit = 20 * time.Second
 )
@@ -84,10 +87,10 @@
 	w.note("%s v2 fails", archive)
 }
 
-// cutStopLimit bounds the stop of a bad version while links are cut. Neither
-// the evidence nor a brake reaches the daemons on the other side before the
-// links are healed.
-const cutStopLimit = 20 * time.Second
+// cutStopLimit bounds the stop of a bad version while links are cut for a
+// time. Neither the evidence nor a brake reaches the daemons on the other side
+// before the links are healed and the tree has come together.
+func cutStopLimit(cut time.Duration) time.Duration { return cut + inForceLimit + stopLimit }
 
 func (w *world) badArchive() *model.Ticket {
 	t := addRoute(w.number(), archiveNotes)
@@ -98,8 +101,9 @@
 	return t
 }
 
-// beginReplacement starts the planned stop of a VM with uploads in flight: the
-// daemon and the target are told at the same time.
+// beginReplacement starts the planned stop of a VM with uploads in flight. The
+// target stays until the daemon has ended: if both drained together, the drain
+// of either would hide that the other one lets late work in.
 func (w *world) beginReplacement() *archiveActs {
 	vm := w.leavingVM()
 	w.startCaller("archive-uploads", "--rate", "4", "--get-weight", "0", "--once-weight", "0", "--upload-weight", "1",
@@ -111,10 +115,8 @@
 	go func() {
 		// A failed expectation panics; finishArchive passes it on.
 		defer func() { acts.stopped <- recover() }()
-		vm.Target.Signal(syscall.SIGTERM)
 		w.stopDaemon(vm)
-		w.Expect(vm.Target.WaitTimeout(loadStopLimit)).To(gomega.Succeed())
-		w.note("the target on %s has stopped", vm.Name)
+		w.stopTarget(vm)
 	}()
 	w.pause(time.Second)
 	uploads.Signal(syscall.SIGTERM)
@@ -140,7 +142,7 @@
 	w.returned(vm)
 	w.setAway(vm, false)
 	w.waitReady()
-	w.Expect(vm.StartTarget(archive, "v1", "--linger", longLinger)).To(gomega.Succeed())
+	w.Expect(vm.StartTarget(archive, "v1", "--linger", archiveLinger)).To(gomega.Succeed())
 }
 
 // finishArchive ends both acts after the fault.
--- a/test/integration/links_test.go
+++ b/test/integration/links_test.go
@@ -70,15 +70,21 @@
 	w.expectKeptOut(stranger)
 }
 
+// Bounds of the times for which domains and regions are cut off.
+const (
+	longestDomainCut = 9 * time.Second
+	longestRegionCut = 12 * time.Second
+)
+
 // linkDomains cuts the controller's domain off, then another one.
 func linkDomains(w *world) {
 	w.start(usual)
 	w.startLoad(usualRate)
-	w.archiveStopLimit = cutStopLimit
+	w.archiveStopLimit = cutStopLimit(2*longestDomainCut + 2*time.Second)
 	acts := w.beginArchive()
 	for _, domain := range []string{w.controller().Domain, fmt.Sprintf("domain-%d", 1+w.random.IntN(4))} {
 		group := w.names(func(vm *fleet.VM) bool { return vm.Domain == domain })
-		w.cutGroup(group, w.between(7*time.Second, 9*time.Second))
+		w.cutGroup(group, w.between(7*time.Second, longestDomainCut))
 		w.pause(2 * time.Second)
 	}
 	w.finishArchive(acts)
@@ -115,10 +121,10 @@
 	t := w.moveBoth(moveTime)
 	w.accept(t)
 	w.waitProgress(t.Number, 10)
-	w.archiveStopLimit = cutStopLimit
+	w.archiveStopLimit = cutStopLimit(longestRegionCut)
 	acts := w.beginArchive()
 	group := w.names(func(vm *fleet.VM) bool { return vm.Region == "region-2" })
-	w.cutGroup(group, w.between(8*time.Second, 12*time.Second))
+	w.cutGroup(group, w.between(8*time.Second, longestRegionCut))
 	w.finishArchive(acts)
 	w.waitState(t.Number, "done")
 }
--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -55,7 +55,7 @@
 	t := w.moveBoth(moveTime)
 	w.accept(t)
 	w.waitProgress(t.Number, 10)
-	w.archiveStopLimit = cutStopLimit
+	w.archiveStopLimit = cutStopLimit(longestRegionCut)
 	acts := w.beginArchive()
 	vm := w.controller()
 	group := w.names(func(vm *fleet.VM) bool { return vm.Region == "region-2" })
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -176,7 +176,7 @@
 	for i, p := range concat(places, archivePlaces) {
 		args := targetArgs
 		if p.service == archive {
-			args = []string{"--linger", longLinger}
+			args = []string{"--linger", archiveLinger}
 		}
 		name := fmt.Sprintf("vm-%d", i+1)
 		domain := i%4 + 1
