Check at the target that a planned stop breaks no run

The checker now finds runs that broke on the stopping VM, in the scenarios whose faults break no requests themselves.

--- a/test/checker/mesh_test.go
+++ b/test/checker/mesh_test.go
@@ -43,6 +43,11 @@
 	return target.Entry{Phase: target.Leaving, VM: "vm1", Start: second(s)}
 }
 
+// brokenAt is the end of a run whose body did not arrive whole.
+func brokenAt(s float64) target.Entry {
+	return target.Entry{Phase: target.Ended, VM: "vm1", Start: second(0), End: second(s)}
+}
+
 func crash(path string) target.Entry { return target.Entry{Phase: target.Crashed, Path: path} }
 
 func served(version string, n int) entries {
@@ -80,6 +85,8 @@
 	Ticket: 2, Version: "v2", Services: []string{"order", "mandate"}, MaxShare: 0.1, From: second(0),
 }}}
 
+var leftWhole = checker.Options{Departures: []checker.Departure{{VM: "vm1", At: second(1), Whole: true}}}
+
 var leaveLimit = checker.Options{LeaveLimit: 4 * time.Second}
 
 var _ = DescribeTable("a bad record of the mesh is caught, and only as what it is",
@@ -115,6 +122,8 @@
 		told{}, entries{crash("/p"), crash("/p"), crash("/p"), crash("/p")}, events{}, checker.Options{}),
 	Entry("new work on a leaving target", checker.LateWork,
 		told{}, entries{leaving(1), startOf(6, "order", "v1")}, events{}, leaveLimit),
+	Entry("an upload that broke during the planned stop of its daemon", checker.Cut,
+		told{}, entries{brokenAt(2)}, events{}, leftWhole),
 	Entry("new work behind a leaving daemon", checker.LateWork,
 		told{}, entries{startOf(6, "order", "v1")}, events{}, left(1, 0)),
 )
@@ -140,6 +149,8 @@
 	Entry("three crashes", told{}, entries{crash("/p"), crash("/p"), crash("/p")}, events{}, checker.Options{}),
 	Entry("work while the news of the stop spreads", told{},
 		entries{leaving(1), startOf(4, "order", "v1")}, events{}, leaveLimit),
+	Entry("an upload that broke before the planned stop", told{}, entries{brokenAt(0.5)}, events{}, leftWhole),
+	Entry("an upload that broke during the planned stop where the test breaks requests", told{}, entries{brokenAt(2)}, events{}, left(1, 0)),
 	Entry("work after the VM came back", told{}, entries{startOf(9, "order", "v1")}, events{}, left(1, 8)),
 )
 
--- a/test/checker/versions.go
+++ b/test/checker/versions.go
@@ -44,6 +44,9 @@
 	At time.Time
 	// Until is when the VM came back; the zero time means never.
 	Until time.Time
+	// Whole expects that every run on the VM during the stop ends whole. It is
+	// false where a fault of the test breaks requests to the VM.
+	Whole bool
 }
 
 // checkVersions checks that each bad version was taken back as a whole, and
@@ -148,6 +151,10 @@
 			switch e.Phase {
 			case target.Leaving:
 				left = e.Start
+			case target.Ended:
+				if brokenByStop(e, options) {
+					report.add(Cut, e.ID, "the run on %s broke during the planned stop of its daemon", e.VM)
+				}
 			case target.Started:
 				if lateWork(e, left, options) {
 					report.add(LateWork, e.ID, "the leaving target on %s got the request", e.VM)
@@ -157,6 +164,21 @@
 	}
 }
 
+// brokenByStop reports whether a run broke while its daemon stopped as planned.
+// Its caller gets "unknown" from another daemon then and sees no cut.
+func brokenByStop(e *target.Entry, options Options) bool {
+	if e.Whole {
+		return false
+	}
+	for _, d := range options.Departures {
+		back := !d.Until.IsZero() && e.End.After(d.Until)
+		if d.Whole && d.VM == e.VM && !back && e.End.After(d.At) {
+			return true
+		}
+	}
+	return false
+}
+
 func lateWork(e *target.Entry, left time.Time, options Options) bool {
 	if options.LeaveLimit == 0 {
 		return false
--- a/test/integration/acts_test.go
+++ b/test/integration/acts_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -66,10 +67,16 @@
 	w.check.Disturbances = append(w.check.Disturbances, checker.Disturbance{VM: vm, From: from, To: to})
 }
 
+// breakingScenarios break requests between daemons, by cut links or by daemons
+// that are killed, so that uploads to a stopping VM may end with them.
+var breakingScenarios = []string{
+	"controller-killed", "updates-disordered", "link-daemons", "link-domains", "link-regions", "herd", "controller-killed-and-region-cut", "soak",
+}
+
 // stopDaemon carries out a planned stop.
 func (w *world) stopDaemon(vm *fleet.VM) {
 	w.note("planned stop of the daemon on %s", vm.Name)
-	w.check.Departures = append(w.check.Departures, checker.Departure{VM: vm.Name, At: time.Now()})
+	w.check.Departures = append(w.check.Departures, checker.Departure{VM: vm.Name, At: time.Now(), Whole: !slices.Contains(breakingScenarios, w.name)})
 	w.Expect(vm.StopDaemon(loadStopLimit)).To(gomega.Succeed())
 	w.note("the daemon on %s has stopped", vm.Name)
 }
