--- a/test/integration/tls_test.go
+++ b/test/integration/tls_test.go
@@ -53,6 +53,7 @@
 // expectKeptOut expects that the stranger runs, does not serve, and is no
 // member for any daemon.
 func (w *world) expectKeptOut(stranger *fleet.VM) {
+	w.Expect(stranger.Daemon.Ended()).To(gomega.BeFalse(), "the stranger has ended")
 	w.Expect(answer(stranger, "healthz")).To(gomega.Equal(http.StatusOK))
 	w.Expect(answer(stranger, "readyz")).To(gomega.Equal(http.StatusServiceUnavailable))
 	for _, vm := range w.fleet.VMs() {
