Leave the setup of a new connection out of a version's latency

Cause: with a small share a new version gets a few requests from each daemon, and most of them are the first on their connection.

Ruled out: slow targets (their records show 0.2 ms a run) and the draw.

The outbound proxy takes the dial and 5 ms off the latency of the first request on a connection.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -309,7 +309,7 @@
 	if !a.ran() || !x.judged() {
 		return
 	}
-	observation := move.Observation{Key: x.sampleKey(a), Latency: took, Failed: a.outcome() == Unknown}
+	observation := move.Observation{Key: x.sampleKey(a), Latency: a.serviceTime(took), Failed: a.outcome() == Unknown}
 	if a.refused == nil {
 		h := a.result.response.Header
 		observation.Failed = observation.Failed || a.result.response.StatusCode >= http.StatusInternalServerError
@@ -318,6 +318,13 @@
 	x.o.config.Observer.Observe(observation)
 }
 
+// serviceTime leaves out what a new connection may have cost. A version with
+// a small share gets few requests from each daemon, and most of them are the
+// first on their connection; good versions were taken back for that.
+func (a *attempt) serviceTime(took time.Duration) time.Duration {
+	return max(took-a.result.setup, 0)
+}
+
 // observeBroken reports an answer that broke after its status was passed on.
 // The attempt was reported at its headers already, since an answer can take
 // long, so it counts twice; a failure that the judge misses would be worse.
--- a/internal/proxy/direct.go
+++ b/internal/proxy/direct.go
@@ -124,7 +124,7 @@
 		d.ReadCloser = response.Body
 		response.Body = d
 	}
-	return sendResult{response: response, wrote: true}, true
+	return sendResult{response: response, wrote: true, setup: conn.setupTime(base)}, true
 }
 
 // abort ends a round trip whose context has ended.
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -108,12 +108,13 @@
 
 // dial opens a connection on a place that the caller took.
 func (p *pool) dial(ctx context.Context) (*countedConn, error) {
+	started := time.Now()
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		<-p.places
 		return nil, &dialError{cause: err}
 	}
-	return &countedConn{Conn: conn, places: p.places}, nil
+	return &countedConn{Conn: conn, places: p.places, dialTime: time.Since(started)}, nil
 }
 
 // put keeps a connection whose answer was read to its end.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -80,6 +80,8 @@
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	// dialTime is how long it took to open the connection.
+	dialTime time.Duration
 	// places gets the connection's place back when it is closed.
 	places chan struct{}
 	closed atomic.Bool
@@ -136,6 +138,16 @@
 	s.base = conn.written.Load()
 }
 
+// setup returns what the connection of an answered request may have cost.
+func (s *sent) setup() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn == nil {
+		return 0
+	}
+	return s.conn.setupTime(s.base)
+}
+
 func (s *sent) settle() {
 	if s.conn != nil && s.conn.written.Load() != s.base {
 		s.wrote = true
@@ -162,6 +174,23 @@
 	wrote bool
 	// refused is true when no connection could be opened.
 	refused bool
+	// setup is the part of the time that a new connection may have cost; zero
+	// for a connection that was used before.
+	setup time.Duration
+}
+
+// setupAllowance is what the first request on a connection may cost beside the
+// dial: the other daemon accepts the connection and may have to dial its target,
+// each about 1 ms, and more on a busy machine.
+const setupAllowance = 5 * time.Millisecond
+
+// setupTime returns the setup of a result. written is the number of bytes that
+// the connection had carried before the request.
+func (c *countedConn) setupTime(written int64) time.Duration {
+	if written > 0 {
+		return 0
+	}
+	return c.dialTime + setupAllowance
 }
 
 // sending is a request that goes out, with the record of its connection.
@@ -196,7 +225,7 @@
 	ctx := s.request.Context()
 	response, err := l.transport.RoundTrip(s.request.WithContext(httptrace.WithClientTrace(ctx, &s.trace)))
 	if err == nil {
-		return sendResult{response: response, wrote: true}
+		return sendResult{response: response, wrote: true, setup: s.record.setup()}
 	}
 	var dialed *dialError
 	wrote := s.record.any()
