--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,10 @@
 	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
 
 # The integration scenarios come last and alone, since each starts a few dozen processes.
+# Only with -v are the failures printed that KNOWN-RED.txt lists.
 test: build
 	$(GO) test $$($(GO) list $(PACKAGES) | grep -v /test/integration)
-	$(GO) test -count=1 ./test/integration
+	$(GO) test -count=1 -v ./test/integration
 
 fmt:
 	gofmt -w $$(git ls-files '*.go')
--- a/test/bench/start.go
+++ b/test/bench/start.go
@@ -15,8 +15,8 @@
 	daemons int
 	// network puts a forwarder between each pair of daemons.
 	network bool
-	// peers is added to the settings of the peer links.
-	peers string
+	// authority signs the daemons' certificates; nil uses no TLS.
+	authority *fleet.Authority
 	// fronts is the number of platformFronts before the platform: none, one
 	// for all daemons, or one for each region.
 	fronts int
@@ -28,7 +28,7 @@
 }
 
 func startMeshOf(o *Options, dir string, c meshConfig) (*mesh, error) {
-	config := fleet.Config{Bin: o.Bin, Dir: dir, Peers: c.peers}
+	config := fleet.Config{Bin: o.Bin, Dir: dir, Authority: c.authority}
 	if o.Processors != "" {
 		config.Settings = "[limits]\nprocessors = " + o.Processors
 	}
--- a/test/bench/tls.go
+++ b/test/bench/tls.go
@@ -1,19 +1,11 @@
 package bench
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/test/fleet"
 )
 
 // Course of the comparison with TLS.
@@ -44,17 +36,17 @@
 // MeasureTLS compares the peer links with and without mutual TLS.
 func MeasureTLS(o *Options, dir string) ([]Row, any, error) {
 	r := &TLS{Daemons: tlsDaemons}
-	peers, err := writeCertificates(filepath.Join(dir, "certificates"))
+	authority, err := fleet.NewAuthority("bench")
 	if err != nil {
 		return nil, r, err
 	}
 	for i := range tlsRounds {
-		for _, settings := range []string{"", peers} {
-			round, err := measureTLSRound(o, filepath.Join(dir, fmt.Sprintf("%d-%t", i, settings != "")), settings)
+		for _, signer := range []*fleet.Authority{nil, authority} {
+			round, err := measureTLSRound(o, filepath.Join(dir, fmt.Sprintf("%d-%t", i, signer != nil)), signer)
 			if err != nil {
 				return r.rows(), r, err
 			}
-			if settings == "" {
+			if signer == nil {
 				r.Plain = append(r.Plain, round)
 			} else {
 				r.Secured = append(r.Secured, round)
@@ -64,9 +56,9 @@
 	return r.rows(), r, nil
 }
 
-func measureTLSRound(o *Options, dir, peers string) (TLSRound, error) {
+func measureTLSRound(o *Options, dir string, authority *fleet.Authority) (TLSRound, error) {
 	var round TLSRound
-	m, err := startMeshOf(o, dir, meshConfig{daemons: tlsDaemons, peers: peers})
+	m, err := startMeshOf(o, dir, meshConfig{daemons: tlsDaemons, authority: authority})
 	if err != nil {
 		return round, err
 	}
@@ -121,62 +113,3 @@
 	}
 	return rows
 }
-
-// writeCertificates makes a CA and one certificate for all daemons, and
-// returns the settings that name them.
-func writeCertificates(dir string) (string, error) {
-	dir, err := filepath.Abs(dir)
-	if err == nil {
-		err = os.MkdirAll(dir, 0o755)
-	}
-	if err != nil {
-		return "", fault.Wrap(err, fault.Internal, "create %s", dir)
-	}
-	ca, caKey, err := certificate("bench CA", nil, nil)
-	if err != nil {
-		return "", err
-	}
-	leaf, key, err := certificate("daemon", ca, caKey)
-	if err != nil {
-		return "", err
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		return "", fault.Wrap(err, fault.Internal, "encode the key")
-	}
-	settings := ""
-	for name, block := range map[string]*pem.Block{
-		"tls_ca":          {Type: "CERTIFICATE", Bytes: ca.Raw},
-		"tls_certificate": {Type: "CERTIFICATE", Bytes: leaf.Raw},
-		"tls_key":         {Type: "EC PRIVATE KEY", Bytes: keyDER},
-	} {
-		path := filepath.Join(dir, name+".pem")
-		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			return "", fault.Wrap(err, fault.Internal, "write %s", path)
-		}
-		settings += fmt.Sprintf("%s = %s\n", name, path)
-	}
-	return settings, nil
-}
-
-// certificate makes a certificate that the CA signs, or a CA if it is nil.
-func certificate(name string, ca *x509.Certificate, caKey *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey, error) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return nil, nil, fault.Wrap(err, fault.Internal, "make a key")
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), BasicConstraintsValid: true,
-	}
-	if ca == nil {
-		template.IsCA, template.KeyUsage = true, x509.KeyUsageCertSign
-		ca, caKey = template, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, ca, key.Public(), caKey)
-	if err != nil {
-		return nil, nil, fault.Wrap(err, fault.Internal, "sign the certificate of %s", name)
-	}
-	parsed, err := x509.ParseCertificate(der)
-	return parsed, key, err
-}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -39,8 +39,6 @@
 	Authority *Authority
 	// Settings is added to every daemon's settings file.
 	Settings string
-	// Peers is added to the section of the peer links, such as TLS files.
-	Peers string
 }
 
 // Fleet is a running mesh.
@@ -176,8 +174,7 @@
 inbound = %s
 [peers]
 token = %s
-%s%s
-[platform]
+%s[platform]
 table_endpoint = http://%s
 table = magnoliamount
 object_endpoint = http://%s
@@ -189,5 +186,5 @@
 token = %s
 %s
 `, vm.Name, vm.Domain, vm.Region, vm.Caller, vm.Inbound, vm.Peer, vm.Admin, vm.PeerVia, vm.InboundVia,
-		peerToken, vm.tlsSettings(), f.config.Peers, f.PlatformVia, f.PlatformVia, adminToken, f.config.Settings)
+		peerToken, vm.tlsSettings(), f.PlatformVia, f.PlatformVia, adminToken, f.config.Settings)
 }
