--- /dev/null
+++ b/internal/member/fuzz_test.go
@@ -0,0 +1,32 @@
+package member_test
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
+)
+
+// FuzzDecodeBatch guards against a frame of a peer that ends the daemon, and
+// against a batch that changes when it is passed on.
+func FuzzDecodeBatch(f *testing.F) {
+	ready := member.Endpoint{VM: "vm-1", Domain: "a", Incarnation: 7, Sequence: 2, Described: 1, State: member.Ready, PeerAddress: "10.0.0.1:7001"}
+	lost := member.Endpoint{VM: "vm-2", Domain: "b", Incarnation: 8, Sequence: 3, State: member.Lost}
+	f.Add((&member.Batch{Entries: []member.Endpoint{ready, lost}, Claim: true}).Encode())
+	f.Add((&member.Batch{Entries: []member.Endpoint{lost.Short()}, Sync: true, Compared: []string{"a", "b"}, Wanted: []string{"vm-1"}}).Encode())
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		b, err := member.DecodeBatch(encoded)
+		if err != nil {
+			if fault.KindOf(err) != fault.Protocol {
+				t.Fatalf("kind %q of %v", fault.KindOf(err), err)
+			}
+			return
+		}
+		again, err := member.DecodeBatch(b.Encode())
+		if err != nil || !reflect.DeepEqual(again, b) {
+			t.Fatalf("passed on as %+v instead of %+v: %v", again, b, err)
+		}
+	})
+}
