--- a/test/checker/evident.go
+++ b/test/checker/evident.go
@@ -107,8 +107,9 @@
 
 // evidentAt returns when an observer who sees the end of every run is certain
 // that the version is bad on a route, with the judge's bound on false alarms,
-// or the zero time. It is the definition of the replay report, for runs that
-// are either good or bad.
+// or the zero time. The sum of a route restarts at zero, because it is not known
+// here when the fault begins; that makes badness evident earlier than for the
+// observer of the replay report.
 func evidentAt(b *BadVersion, files [][]target.Entry) time.Time {
 	certain := -math.Log(move.FalseAlarmBound)
 	sums := map[string]float64{}
