--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -43,11 +43,17 @@
 type Target struct {
 	Service string
 	Version string
+	// Instance names this run of the target; empty when targets have no names.
+	// It stays on the VM.
+	Instance string
 	// Address is where the daemon beside the target reaches it.
 	Address     string
 	Slots       uint32
 	Connections uint32
 	Started     time.Time
+	// WarmAt is when the target works at its full speed; zero leaves it to an
+	// estimate from Started.
+	WarmAt time.Time
 }
 
 // Endpoint is a daemon and the target beside it.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -70,15 +70,43 @@
 	// PathPrefix starts with a slash. The longest match wins.
 	PathPrefix string
 	Service    string
+	// Split divides the route's requests among several services by weight.
+	// When it is set, Service names the first of them.
+	Split []Weight
 	// Version pins the route to a proved version; empty follows the shares.
 	Version string
 	Class   Class
+	// Priority orders the requests of a class; the lowest goes first.
+	Priority uint32
 	// Idempotent requests may be repeated when their outcome is unknown.
 	Idempotent bool
 	// Once requests carry an idempotency key and run at most once.
 	Once bool
 	// Timeout bounds a request; zero means DefaultTimeout.
 	Timeout time.Duration
+	// Objective is the latency that callers want; zero means that they did not say.
+	Objective time.Duration
+	// Attempts is the most targets that one request is sent to; zero leaves
+	// it to the daemon.
+	Attempts uint32
+}
+
+// Weight is a service's part of a route.
+type Weight struct {
+	Service string
+	Weight  uint32
+}
+
+// Services lists the services that the route leads to.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, part := range r.Split {
+		names = append(names, part.Service)
+	}
+	return names
 }
 
 // DefaultTimeout bounds a request whose route names no timeout.
--- a/internal/model/state.go
+++ b/internal/model/state.go
@@ -195,10 +195,12 @@
 // version that the state does not have.
 func (s *State) Check() error {
 	for _, r := range s.Routes {
-		service, ok := s.Services[r.Service]
-		if !ok {
-			return fault.New(fault.Inconsistent, "route %q points at service %q, which does not exist", r.Name, r.Service)
+		for _, name := range r.Services() {
+			if s.Services[name] == nil {
+				return fault.New(fault.Inconsistent, "route %q points at service %q, which does not exist", r.Name, name)
+			}
 		}
+		service := s.Services[r.Service]
 		if r.Version != "" && !slices.Contains(service.Versions, r.Version) {
 			return fault.New(fault.Inconsistent, "route %q points at version %q, which service %q does not have", r.Name, r.Version, r.Service)
 		}
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -176,12 +176,37 @@
 		if r.Timeout < 0 {
 			f.add("route %q: timeout is negative", r.Name)
 		}
+		if r.Objective < 0 {
+			f.add("route %q: objective is negative", r.Name)
+		}
 		if r.Once && r.Idempotent {
 			f.add("route %q is both idempotent and once", r.Name)
 		}
+		f.checkSplit(r)
 	}
 }
 
+// checkSplit refuses weights that name no service or give no traffic.
+func (f *findings) checkSplit(r *Route) {
+	if len(r.Split) == 0 {
+		return
+	}
+	if r.Version != "" {
+		f.add("route %q is pinned to a version and split among services", r.Name)
+	}
+	if r.Split[0].Service != r.Service {
+		f.add("route %q: the split does not start with service %q", r.Name, r.Service)
+	}
+	var sum uint64
+	for _, part := range r.Split {
+		sum += uint64(part.Weight)
+	}
+	if sum == 0 {
+		f.add("route %q: the weights sum to 0", r.Name)
+	}
+	f.checkDuplicates(fmt.Sprintf("route %q, service", r.Name), r.Services())
+}
+
 func (f *findings) checkMoves(t *Ticket) {
 	var names []string
 	for _, m := range t.Moves {
@@ -252,12 +277,15 @@
 		after.Routes[t.Routes[i].Name] = &t.Routes[i]
 	}
 	for _, r := range after.Routes {
-		service := after.Services[r.Service]
-		if service == nil {
-			f.add("route %q points at service %q, which does not exist", r.Name, r.Service)
-			continue
+		missing := false
+		for _, name := range r.Services() {
+			if after.Services[name] == nil {
+				f.add("route %q points at service %q, which does not exist", r.Name, name)
+				missing = true
+			}
 		}
-		if r.Version == "" {
+		service := after.Services[r.Service]
+		if missing || r.Version == "" {
 			continue
 		}
 		if !slices.Contains(service.Versions, r.Version) {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -4,11 +4,15 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
 )
 
+// retryAfterDecimals is the precision of Retry-After, whose unit is the second.
+const retryAfterDecimals = 3
+
 // ErrorBody is the JSON body of every answer that a daemon makes itself.
 type ErrorBody struct {
 	Kind    fault.Kind `json:"kind"`
@@ -25,6 +29,10 @@
 	noRetry bool
 	// refused is set when the target takes no requests at the moment.
 	refused bool
+	// arrived is set when the request reached a target.
+	arrived bool
+	// retryAfter is when the caller may come back; zero leaves it out.
+	retryAfter time.Duration
 	// crash is the fingerprint of the request if the target died with it.
 	crash uint64
 	// bystander is set when a target has answered the same request lately, so
@@ -76,6 +84,12 @@
 	if a.refused {
 		setOne(h, refusedHeader, "1")
 	}
+	if a.arrived {
+		setOne(h, arrivedHeader, "1")
+	}
+	if a.retryAfter > 0 {
+		setOne(h, "Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', retryAfterDecimals, 64))
+	}
 	if a.crash != 0 {
 		setOne(h, CrashHeader, strconv.FormatUint(a.crash, 16))
 		if a.bystander {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -15,6 +15,9 @@
 const (
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts = 3
+	// maxTries bounds the daemons that one request is sent to while no target
+	// has seen it: each refuses within a round trip.
+	maxTries = 4
 	// addedHeaders is how many headers most requests to a daemon get.
 	addedHeaders = 6
 	// answerGrace is how long the outbound proxy waits past the deadline for
@@ -40,11 +43,11 @@
 
 // run sends the request until it has an answer to pass on.
 func (x *exchange) run() {
-	budget := x.snapshot.budgets[x.route.Service.Name]
-	budget.Request(x.o.config.Now())
 	choice, ok := x.first()
+	budget := x.snapshot.budgets[choice.Service.Name]
+	budget.Request(x.o.config.Now())
 	if !ok {
-		err := fault.New(fault.Unavailable, "service %q has no ready target for the route", x.route.Service.Name)
+		err := fault.New(fault.Unavailable, "service %q has no ready target for the route", choice.Service.Name)
 		x.refuse(notRun(http.StatusServiceUnavailable, err))
 		return
 	}
@@ -55,7 +58,7 @@
 			return
 		}
 		next, ok := x.again(choice)
-		if !ok || len(x.tried) >= maxAttempts || !x.replayable(a) || !budget.Retry(x.o.config.Now()) {
+		if !ok || len(x.tried) >= x.mostAttempts() || !x.replayable(a) || !x.mayArrive(a, budget) {
 			x.finish(a, true)
 			return
 		}
@@ -80,6 +83,38 @@
 	}
 }
 
+// mostAttempts is how many daemons the request may be sent to.
+func (x *exchange) mostAttempts() int {
+	if x.o.config.Protocol.checked() {
+		return maxTries
+	}
+	return maxAttempts
+}
+
+// mayArrive reports whether the request may reach another target. One that no
+// target has seen yet costs no retry.
+func (x *exchange) mayArrive(a *attempt, budget *routing.Budget) bool {
+	if a.arrived() {
+		x.arrivals++
+	}
+	if x.arrivals == 0 && x.o.config.Protocol.checked() {
+		return true
+	}
+	if limit := int(x.route.Attempts); limit > 0 && x.arrivals >= limit {
+		return false
+	}
+	return budget.Retry(x.o.config.Now())
+}
+
+// arrived reports whether the attempt may have reached a target.
+func (a *attempt) arrived() bool {
+	if a.refused != nil {
+		return a.refused.outcome != NotRun
+	}
+	h := a.result.response.Header
+	return outcomeOf(h) != NotRun || h.Get(arrivedHeader) != ""
+}
+
 func (x *exchange) first() (routing.Choice, bool) {
 	x.o.choosing.Lock()
 	defer x.o.choosing.Unlock()
@@ -114,9 +149,15 @@
 	out := newSending(x.ctx, x.r, l.address, x.source, a.body, addedHeaders)
 	h := out.request.Header
 	stripOwn(h)
-	x.fields.set(h, RequestHeader, x.in.id)
+	if x.in.id != "" {
+		x.fields.set(h, RequestHeader, x.in.id)
+	}
+	if protocol := &x.o.config.Protocol; !protocol.own() {
+		delete(h, protocol.ExpectedInstance)
+		x.fields.set(h, protocol.CallerService, x.o.config.CallerService)
+	}
 	x.fields.set(h, RouteHeader, x.route.Name)
-	x.fields.set(h, ServiceHeader, x.route.Service.Name)
+	x.fields.set(h, ServiceHeader, a.choice.Service.Name)
 	x.fields.set(h, VersionHeader, a.choice.Version.Name)
 	if x.route.Class != model.Normal {
 		x.fields.set(h, ClassHeader, string(x.route.Class))
@@ -124,7 +165,7 @@
 	if x.route.Once {
 		x.fields.set(h, OnceHeader, "1")
 	}
-	x.fields.setRemaining(h, time.Until(x.deadline))
+	x.fields.setRemaining(h, DeadlineHeader, time.Until(x.deadline))
 	x.fields.setClock(h, x.o.config.Clock)
 	x.expect(h)
 	return out
@@ -150,7 +191,8 @@
 		return
 	}
 	if a.result.err != nil {
-		if x.ctx.Err() == nil {
+		// A daemon that works says so itself when the deadline passes.
+		if x.r.Context().Err() == nil {
 			target.Broken(now)
 		}
 		return
@@ -251,8 +293,10 @@
 		x.finishInDoubt(a)
 		return
 	}
-	x.fields.set(x.w.Header(), RequestHeader, x.in.id)
-	x.fields.set(x.w.Header(), VersionHeader, x.version)
+	if x.o.config.Protocol.own() {
+		x.fields.set(x.w.Header(), RequestHeader, x.in.id)
+		x.fields.set(x.w.Header(), VersionHeader, x.version)
+	}
 	if a.refused != nil {
 		a.refused.noRetry = a.refused.noRetry || exhausted
 		x.refuse(a.refused)
@@ -263,11 +307,15 @@
 	defer response.Body.Close()
 	h := x.w.Header()
 	copyEndToEnd(h, response.Header)
-	stripOwn(h, OutcomeHeader, NoRetryHeader, CrashHeader, RequestHeader, VersionHeader)
-	if exhausted {
-		x.fields.set(h, NoRetryHeader, "1")
+	if x.o.config.Protocol.own() {
+		stripOwn(h, OutcomeHeader, NoRetryHeader, CrashHeader, RequestHeader, VersionHeader)
+		if exhausted {
+			x.fields.set(h, NoRetryHeader, "1")
+		}
+		x.fields.setClock(h, x.o.config.Clock)
+	} else {
+		stripOwn(h)
 	}
-	x.fields.setClock(h, x.o.config.Clock)
 	x.finished(answered(a.outcome()))
 	x.early.beforeAnswer(x.source)
 	result := relay(x.w, response, nil)
@@ -282,7 +330,9 @@
 // finishInDoubt answers a request whose last attempt did not run, but an
 // earlier one may have: of the whole request, "not run" would be untrue.
 func (x *exchange) finishInDoubt(a *attempt) {
-	setOne(x.w.Header(), VersionHeader, x.version)
+	if x.o.config.Protocol.own() {
+		setOne(x.w.Header(), VersionHeader, x.version)
+	}
 	var status int
 	if a.refused != nil {
 		status = a.refused.status
@@ -290,6 +340,9 @@
 		status = a.result.response.StatusCode
 	}
 	x.drop(a)
+	if x.o.config.Protocol.checked() && promisesNotRun(status) {
+		status = http.StatusBadGateway
+	}
 	refused := unknown(status, fault.New(fault.UnknownOutcome, "an earlier attempt may have run; the last one did not"))
 	refused.noRetry = true
 	x.refuse(refused)
@@ -306,7 +359,7 @@
 func (x *exchange) observe(a *attempt) {
 	took := x.o.config.Now().Sub(a.started)
 	x.o.config.Metrics.firstByte(outboundSide, x.route.Name, took)
-	if !a.ran() || !x.judged() {
+	if !a.ran() || !x.judged(a) {
 		return
 	}
 	observation := move.Observation{Key: x.sampleKey(a), Latency: a.serviceTime(took), Failed: a.outcome() == Unknown}
@@ -329,7 +382,7 @@
 // The attempt was reported at its headers already, since an answer can take
 // long, so it counts twice; a failure that the judge misses would be worse.
 func (x *exchange) observeBroken(a *attempt) {
-	if !x.judged() {
+	if !x.judged(a) {
 		return
 	}
 	took := x.o.config.Now().Sub(a.started)
@@ -338,11 +391,11 @@
 
 // judged reports whether the request counts for an open move. A caller that
 // has gone away says nothing about the version.
-func (x *exchange) judged() bool {
-	return x.route.Service.Ticket != 0 && x.route.Version == "" && x.r.Context().Err() == nil
+func (x *exchange) judged(a *attempt) bool {
+	return a.choice.Service.Ticket != 0 && x.route.Version == "" && x.r.Context().Err() == nil
 }
 
 func (x *exchange) sampleKey(a *attempt) move.SampleKey {
-	service := x.route.Service
+	service := a.choice.Service
 	return move.SampleKey{Ticket: service.Ticket, Route: x.route.Name, Service: service.Name, New: a.choice.Version.New}
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -74,10 +74,14 @@
 
 // fill reads until the prefix is known or the body ends. It fails with
 // fault.Timeout when the caller does not send it in time.
-func (s *source) fill() error {
+func (s *source) fill() error { return s.fillTo(prefixBytes) }
+
+// fillTo reads until the first limit bytes are known or the body ends. It
+// fails as fill does.
+func (s *source) fillTo(limit int) error {
 	for {
 		s.mu.Lock()
-		done, err := len(s.kept) >= prefixBytes, s.err
+		done, err := len(s.kept) >= limit, s.err
 		s.mu.Unlock()
 		if err == io.EOF || done {
 			return nil
@@ -88,10 +92,17 @@
 		if err != nil {
 			return fault.Wrap(err, fault.Protocol, "cannot read the request's body")
 		}
-		s.more(prefixBytes, nil)
+		s.more(limit, nil)
 	}
 }
 
+// whole returns the length of the body when all of it is kept, or false.
+func (s *source) whole() (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.kept)), s.err == io.EOF && !s.overflow
+}
+
 // more reads up to limit bytes in all into the kept part. It returns false
 // when the kept part is full, or when the attempt was given up meanwhile.
 func (s *source) more(limit int, a *attemptBody) {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -34,6 +34,14 @@
 	Metrics *Metrics
 	// RetryPercent is the retry budget; zero means routing.DefaultRetryPercent.
 	RetryPercent int
+	// Protocol is what callers use; the zero value means DefaultProtocol.
+	Protocol Protocol
+	// CallerService is the service of the target on the same VM, which sends
+	// its calls through this proxy.
+	CallerService string
+	// BufferBytes bounds the bodies and the answers that are read whole before
+	// they are passed on. Zero means that bodies are passed on as they come.
+	BufferBytes int
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
@@ -49,10 +57,21 @@
 	Metrics *Metrics
 	// DrainNotice is how long Drain still lets new work in; zero means DefaultDrainNotice.
 	DrainNotice time.Duration
+	// Protocol is what the target uses; the zero value means DefaultProtocol.
+	Protocol Protocol
+	// BufferBytes is as in OutboundConfig.
+	BufferBytes int
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
 
+func protocolOr(p Protocol) Protocol {
+	if p == (Protocol{}) {
+		return DefaultProtocol()
+	}
+	return p
+}
+
 type noClock struct{}
 
 func (noClock) Tick() uint64 { return 0 }
--- a/internal/proxy/direct.go
+++ b/internal/proxy/direct.go
@@ -30,10 +30,15 @@
 	idleSince  time.Time
 	probe      [1]byte
 	silent     bool
+	// requestID is as in linkOptions.
+	requestID string
+	// spent is true when the connection cannot carry another request: the last
+	// one was not sent whole, or an answer to another request came.
+	spent bool
 }
 
-func newDirectConn(counted *countedConn) (*directConn, error) {
-	c := &directConn{countedConn: counted, headerLeft: unlimited}
+func newDirectConn(counted *countedConn, requestID string) (*directConn, error) {
+	c := &directConn{countedConn: counted, headerLeft: unlimited, requestID: requestID}
 	c.reader = bufio.NewReaderSize(c, ioBufferBytes)
 	c.writer = bufio.NewWriterSize(counted, ioBufferBytes)
 	conn, ok := counted.Conn.(syscall.Conn)
@@ -74,24 +79,88 @@
 	return true
 }
 
+const (
+	// inlineBodyBytes is the size up to which a body is written before the
+	// answer is read. It fits into the buffers of a socket, so that the write
+	// does not wait for an endpoint that answers without reading.
+	inlineBodyBytes = 16 << 10
+	// sentGrace is how long an answer waits for the end of the write of a long
+	// body, which another goroutine reports.
+	sentGrace = 2 * time.Millisecond
+	// maxStrays bounds the answers to other requests that are skipped, and
+	// maxStrayBytes the length of each.
+	maxStrays     = 3
+	maxStrayBytes = 1 << 20
+)
+
 // exchange sends the request and reads the header of the final answer.
 func (c *directConn) exchange(r *http.Request) (*http.Response, error) {
+	if r.ContentLength <= inlineBodyBytes {
+		if err := c.write(r); err != nil {
+			return nil, err
+		}
+		return c.receive(r)
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- c.write(r) }()
+	response, err := c.receive(r)
+	if err == nil {
+		c.spent = c.spent || !sentWhole(sent)
+	}
+	return response, err
+}
+
+func (c *directConn) write(r *http.Request) error {
 	if err := r.Write(c.writer); err != nil {
-		return nil, err
+		return err
 	}
-	if err := c.writer.Flush(); err != nil {
-		return nil, err
+	return c.writer.Flush()
+}
+
+// sentWhole reports whether the request was sent whole before its answer came.
+func sentWhole(sent <-chan error) bool {
+	select {
+	case err := <-sent:
+		return err == nil
+	case <-time.After(sentGrace):
+		return false
 	}
-	c.headerLeft = maxAnswerHeaderBytes
+}
+
+// receive reads the header of the final answer. An endpoint may send a second
+// answer to an earlier request late, which is told by its id and skipped.
+func (c *directConn) receive(r *http.Request) (*http.Response, error) {
 	defer func() { c.headerLeft = unlimited }()
-	for {
+	for strays := 0; ; {
+		c.headerLeft = maxAnswerHeaderBytes
 		response, err := http.ReadResponse(c.reader, r)
-		if err != nil || !informational(response.StatusCode) {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case informational(response.StatusCode):
+		case !c.stray(r, response):
+			return response, nil
+		case strays == maxStrays || response.Close:
+			return nil, errors.New("the endpoint answers other requests")
+		default:
+			strays++
+			c.spent = true
+			c.headerLeft = unlimited
+			if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); err != io.EOF {
+				return nil, errors.New("an answer to another request did not end")
+			}
 		}
 	}
 }
 
+func (c *directConn) stray(r *http.Request, response *http.Response) bool {
+	if c.requestID == "" {
+		return false
+	}
+	echoed := response.Header.Get(c.requestID)
+	return echoed != "" && echoed != r.Header.Get(c.requestID)
+}
+
 func informational(status int) bool {
 	return status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -117,7 +186,7 @@
 		d.end(false)
 		return sendResult{err: err, wrote: conn.written.Load() != base}, true
 	}
-	d.keep = !response.Close && response.StatusCode != http.StatusSwitchingProtocols
+	d.keep = !conn.spent && !response.Close && response.StatusCode != http.StatusSwitchingProtocols
 	if response.Body == http.NoBody {
 		d.end(true)
 	} else {
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -20,7 +20,7 @@
 			RequestHeader: {id}, DeadlineHeader: {deadline}, KeyHeader: {key}, ClockHeader: {clock},
 			"Expect": {other}, "Connection": {other}, "X-Other": {other},
 		}
-		in, err := parseInput(h)
+		in, err := parseInput(h, &hopProtocol)
 		if err == nil {
 			checkInput(t, in)
 		}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -15,6 +15,7 @@
 	mu        sync.Mutex
 	admission *routing.Admission
 	waiting   map[*routing.Waiter]chan struct{}
+	closed    bool
 }
 
 func newGate(slots uint32) *gate {
@@ -61,6 +62,10 @@
 func (g *gate) arrive(now time.Time, w *routing.Waiter) chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed {
+		w.Verdict = routing.Abandoned
+		return nil
+	}
 	g.wake(g.admission.Arrive(now, w))
 	if w.Verdict != routing.Waiting {
 		return nil
@@ -82,6 +87,18 @@
 	return g.admission.Load()
 }
 
+// close refuses the requests that wait, since their target takes no new work.
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for w, admitted := range g.waiting {
+		g.admission.Abandon(w)
+		close(admitted)
+	}
+	clear(g.waiting)
+}
+
 func (g *gate) wake(changed []*routing.Waiter) {
 	for _, w := range changed {
 		close(g.waiting[w])
@@ -93,6 +110,8 @@
 	switch v {
 	case routing.Admitted:
 		return nil
+	case routing.Abandoned:
+		return fault.New(fault.NotReady, "the target takes no new requests")
 	case routing.ShedDeadline:
 		return fault.New(fault.Overloaded, "the target cannot finish the request before its deadline")
 	}
--- a/internal/proxy/gather.go
+++ b/internal/proxy/gather.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -19,27 +21,74 @@
 	pool   *sync.Pool
 }
 
-// gather reads an answer of known, short length as a whole. A connection that
-// breaks within it then is a failed attempt, which has an outcome and may be
-// repeated, and not an answer that is cut short at the caller.
-func gather(response *http.Response) error {
+// gather reads a short answer as a whole: one of known length, or of any
+// framing up to wholeBytes. A connection that breaks within it then is a failed
+// attempt, which has an outcome and may be repeated, and not an answer that is
+// cut short at the caller.
+func gather(response *http.Response, wholeBytes int) error {
 	length := response.ContentLength
-	if length <= 0 || length > gatherBytes || response.Body == http.NoBody {
+	if length == 0 || response.Body == http.NoBody {
 		return nil
 	}
-	pool := buffersFor(length)
-	buffer := pool.Get().(*[]byte)
-	body := (*buffer)[:length]
+	if length < 0 && wholeBytes > 0 {
+		return gatherOpen(response, wholeBytes)
+	}
+	if length < 0 || length > int64(max(gatherBytes, wholeBytes)) {
+		return nil
+	}
+	body, buffer, pool := room(int(length))
 	_, err := io.ReadFull(response.Body, body)
 	_ = response.Body.Close()
 	if err != nil {
-		pool.Put(buffer)
+		if pool != nil {
+			pool.Put(buffer)
+		}
 		return fault.Wrap(err, fault.Protocol, "the answer was cut short")
 	}
 	response.Body = &gathered{rest: body, buffer: buffer, pool: pool}
 	return nil
 }
 
+// room returns a buffer of the length. The pool is nil for a long one.
+func room(length int) ([]byte, *[]byte, *sync.Pool) {
+	if length > gatherBytes {
+		return make([]byte, length), nil, nil
+	}
+	pool := buffersFor(int64(length))
+	buffer := pool.Get().(*[]byte)
+	return (*buffer)[:length], buffer, pool
+}
+
+// gatherOpen reads an answer without a stated length. One that is longer than
+// the limit is passed on as it comes.
+func gatherOpen(response *http.Response, limit int) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	if err != nil {
+		_ = response.Body.Close()
+		return fault.Wrap(err, fault.Protocol, "the answer was cut short")
+	}
+	if len(body) > limit {
+		response.Body = &resumed{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
+		return nil
+	}
+	_ = response.Body.Close()
+	if len(response.Trailer) > 0 {
+		// Trailers go with an answer in parts.
+		response.Body = &resumed{Reader: bytes.NewReader(body), Closer: io.NopCloser(nil)}
+		return nil
+	}
+	response.ContentLength = int64(len(body))
+	setOne(response.Header, "Content-Length", strconv.Itoa(len(body)))
+	response.Body = &gathered{rest: body}
+	return nil
+}
+
+// resumed is a body whose beginning was read already.
+type resumed struct {
+	io.Reader
+	io.Closer
+}
+
 // Read implements io.Reader.
 func (g *gathered) Read(p []byte) (int, error) {
 	if len(g.rest) == 0 {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -30,6 +30,9 @@
 	// refusedHeader is "1" on an answer of a daemon whose target takes no
 	// requests, so that the outbound daemon leaves the target out for a while.
 	refusedHeader = "Magnoliamount-Refused"
+	// arrivedHeader is "1" on the answer to a request that reached the target,
+	// though it did not run.
+	arrivedHeader = "Magnoliamount-Arrived"
 )
 
 const (
@@ -68,15 +71,15 @@
 
 // parseInput checks the headers that daemons interpret. It fails with
 // fault.Invalid, or with fault.Overloaded when the headers are too large.
-func parseInput(h http.Header) (input, error) {
+func parseInput(h http.Header, protocol *Protocol) (input, error) {
 	var in input
 	if err := checkHeaderSize(h); err != nil {
 		return in, err
 	}
-	if err := in.parseID(h); err != nil {
+	if err := in.parseID(h, protocol.RequestID); err != nil {
 		return in, err
 	}
-	if err := in.parseDeadline(h); err != nil {
+	if err := in.parseDeadline(h, protocol.Deadline); err != nil {
 		return in, err
 	}
 	if err := in.parseKey(h); err != nil {
@@ -114,13 +117,13 @@
 	return "", false, fault.New(fault.Invalid, "header %s is given %d times", name, len(values))
 }
 
-func (in *input) parseID(h http.Header) error {
-	id, ok, err := single(h, RequestHeader)
+func (in *input) parseID(h http.Header, field string) error {
+	id, ok, err := single(h, field)
 	if err != nil || !ok {
 		return err
 	}
 	if id == "" || len(id) > maxRequestID || strings.ContainsFunc(id, notIDRune) {
-		return fault.New(fault.Invalid, "header %s is not 1 to %d letters, digits, '.', '_' or '-'", RequestHeader, maxRequestID)
+		return fault.New(fault.Invalid, "header %s is not 1 to %d letters, digits, '.', '_' or '-'", field, maxRequestID)
 	}
 	in.id = id
 	return nil
@@ -134,14 +137,14 @@
 	return r != '.' && r != '_' && r != '-'
 }
 
-func (in *input) parseDeadline(h http.Header) error {
-	text, ok, err := single(h, DeadlineHeader)
+func (in *input) parseDeadline(h http.Header, field string) error {
+	text, ok, err := single(h, field)
 	if err != nil || !ok {
 		return err
 	}
 	ms, err := strconv.ParseUint(text, 10, 32)
 	if err != nil || time.Duration(ms)*time.Millisecond > maxDeadline {
-		return fault.New(fault.Invalid, "header %s is not a number of 0 to %d milliseconds", DeadlineHeader, maxDeadline.Milliseconds())
+		return fault.New(fault.Invalid, "header %s is not a number of 0 to %d milliseconds", field, maxDeadline.Milliseconds())
 	}
 	in.remaining = time.Duration(ms) * time.Millisecond
 	in.hasDeadline = true
@@ -246,9 +249,9 @@
 	}
 }
 
-func (v *fieldValues) setRemaining(h http.Header, remaining time.Duration) {
+func (v *fieldValues) setRemaining(h http.Header, field string, remaining time.Duration) {
 	ms := max(0, remaining.Milliseconds())
-	v.set(h, DeadlineHeader, strconv.FormatInt(ms, 10))
+	v.set(h, field, strconv.FormatInt(ms, 10))
 }
 
 func sawClock(h http.Header, c Clock) {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -37,6 +37,7 @@
 func NewInbound(config InboundConfig) *Inbound {
 	config.Now = nowOr(config.Now)
 	config.Clock = clockOr(config.Clock)
+	config.Protocol = protocolOr(config.Protocol)
 	if config.DrainNotice == 0 {
 		config.DrainNotice = DefaultDrainNotice
 	}
@@ -62,21 +63,33 @@
 		n.current.Store(&served{target: target, link: old.link, gate: old.gate})
 		return
 	} else {
-		n.current.Store(&served{target: target, link: newLink(target.Address, target.Connections), gate: newGate(target.Slots)})
+		n.current.Store(&served{target: target, link: n.linkTo(target), gate: newGate(target.Slots)})
 	}
 	if old != nil {
 		old.link.close()
+		old.gate.close()
 	}
 }
 
+func (n *Inbound) linkTo(target member.Target) *link {
+	options := linkOptions{connections: target.Connections, wholeBytes: n.config.BufferBytes}
+	if n.config.Protocol.checked() {
+		options.requestID = n.config.Protocol.RequestID
+	}
+	return newLink(target.Address, options)
+}
+
 func sameRun(a, b member.Target) bool {
-	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service &&
+	return a.Instance == b.Instance && a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service &&
 		a.Version == b.Version && a.Started.Equal(b.Started)
 }
 
 // SetStrikes replaces the crash counts of the whole mesh, by fingerprint.
 func (n *Inbound) SetStrikes(counts map[uint64]uint32) { n.strikes.Set(counts) }
 
+// hopProtocol is what daemons use between each other.
+var hopProtocol = DefaultProtocol()
+
 // ServeHTTP forwards the request to the target.
 func (n *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.config.Metrics.begin(inboundSide)
@@ -134,7 +147,7 @@
 		return refused
 	}
 	var err error
-	if s.in, err = parseInput(s.r.Header); err != nil {
+	if s.in, err = parseInput(s.r.Header, &hopProtocol); err != nil {
 		return badInput(err)
 	}
 	if s.route, err = parseRoute(s.r.Header); err != nil {
@@ -146,9 +159,14 @@
 		delete(s.r.Header, "Expect")
 		s.in.expects = false
 	}
-	s.source = newSource(s.r, prefixBytes)
+	s.source = newSource(s.r, max(prefixBytes, s.n.config.BufferBytes))
 	s.limitTime()
 	s.source.limitTime(s.w, s.deadline)
+	if s.n.config.BufferBytes > 0 {
+		if err := s.source.fillTo(s.n.config.BufferBytes); err != nil {
+			return badBody(err)
+		}
+	}
 	if s.n.strikes.Any() {
 		if err := s.source.fill(); err != nil {
 			return badBody(err)
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -26,6 +26,9 @@
 	// unready holds the reason why requests are refused, or nil.
 	unready atomic.Pointer[error]
 
+	// limits holds the retry budget of each service.
+	limits atomic.Pointer[routing.BudgetLimits]
+
 	// choosing guards the generator and the chooser.
 	choosing sync.Mutex
 	chooser  *routing.Chooser
@@ -45,6 +48,7 @@
 func NewOutbound(config OutboundConfig) *Outbound {
 	config.Now = nowOr(config.Now)
 	config.Clock = clockOr(config.Clock)
+	config.Protocol = protocolOr(config.Protocol)
 	if config.RetryPercent == 0 {
 		config.RetryPercent = routing.DefaultRetryPercent
 	}
@@ -57,6 +61,8 @@
 		strikes: routing.NewStrikes(),
 		chooser: routing.NewChooser(config.Domain, config.Random),
 	}
+	limits := routing.DefaultBudgetLimits(config.RetryPercent)
+	o.limits.Store(&limits)
 	o.SetReady(fault.New(fault.NotReady, "the daemon has no configuration yet"))
 	o.Update(&routing.Config{State: model.NewState()})
 	return o
@@ -76,14 +82,15 @@
 	for i := range config.Endpoints {
 		e := &config.Endpoints[i]
 		if e.Target.Service != "" {
-			next.links[routing.KeyOf(e)] = old.linkTo(e)
+			next.links[routing.KeyOf(e)] = o.linkTo(old, e)
 		}
 	}
 	for name := range config.State.Services {
-		next.budgets[name] = routing.NewBudget(o.config.RetryPercent)
 		if old != nil && old.budgets[name] != nil {
 			next.budgets[name] = old.budgets[name]
+			continue
 		}
+		next.budgets[name] = routing.NewBudget(*o.limits.Load())
 	}
 	o.current.Store(next)
 	if old != nil {
@@ -91,16 +98,26 @@
 	}
 }
 
-// linkTo returns the link to the endpoint's daemon, or a new one. The
-// receiver may be nil.
-func (s *snapshot) linkTo(e *member.Endpoint) *link {
-	if s != nil {
-		l := s.links[routing.KeyOf(e)]
+// LimitRetries replaces the retry budget of every service.
+func (o *Outbound) LimitRetries(limits routing.BudgetLimits) {
+	o.updating.Lock()
+	defer o.updating.Unlock()
+	o.limits.Store(&limits)
+	for _, budget := range o.current.Load().budgets {
+		budget.Limit(limits)
+	}
+}
+
+// linkTo returns the old link to the endpoint's daemon, or a new one. The old
+// snapshot may be nil.
+func (o *Outbound) linkTo(old *snapshot, e *member.Endpoint) *link {
+	if old != nil {
+		l := old.links[routing.KeyOf(e)]
 		if l != nil && l.connections == e.Target.Connections {
 			return l
 		}
 	}
-	return newLink(e.InboundAddress, e.Target.Connections)
+	return newLink(e.InboundAddress, linkOptions{connections: e.Target.Connections, wholeBytes: o.config.BufferBytes})
 }
 
 func closeUnused(old, next *snapshot) {
@@ -160,6 +177,8 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 	tried    []*routing.Target
+	// arrivals counts the targets that the request may have reached.
+	arrivals int
 	// inDoubt is true once an attempt that may have run was given up.
 	inDoubt bool
 	// triedRoom is the storage of tried.
@@ -174,10 +193,10 @@
 		return notRun(http.StatusServiceUnavailable, fault.Wrap(*reason, fault.NotReady, "the daemon may not serve yet"))
 	}
 	var err error
-	if x.in, err = parseInput(x.r.Header); err != nil {
+	if x.in, err = parseInput(x.r.Header, &x.o.config.Protocol); err != nil {
 		return badInput(err)
 	}
-	if x.in.id == "" {
+	if x.in.id == "" && x.o.config.Protocol.own() {
 		x.in.id = x.o.newID()
 	}
 	x.o.config.Clock.Saw(x.in.clock)
@@ -192,7 +211,7 @@
 }
 
 func (x *exchange) prepareBody() *refusal {
-	x.source = newSource(x.r, replayBytes)
+	x.source = newSource(x.r, max(replayBytes, x.o.config.BufferBytes))
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = model.DefaultTimeout
@@ -206,6 +225,11 @@
 	x.deadline = time.Now().Add(timeout)
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(answerGrace))
 	x.source.limitTime(x.w, x.deadline.Add(answerGrace))
+	if x.o.config.BufferBytes > 0 {
+		if err := x.source.fillTo(x.o.config.BufferBytes); err != nil {
+			return badBody(err)
+		}
+	}
 	return x.checkQuarantine()
 }
 
@@ -242,7 +266,7 @@
 
 func (x *exchange) refuse(refused *refusal) {
 	if x.in.id != "" {
-		setOne(x.w.Header(), RequestHeader, x.in.id)
+		setOne(x.w.Header(), x.o.config.Protocol.RequestID, x.in.id)
 	}
 	x.finished(refused.outcome)
 	recordRefusal(x.o.config.Observer, refused, x.in.id)
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -13,6 +13,8 @@
 type pool struct {
 	address string
 	dialer  net.Dialer
+	// requestID is as in linkOptions.
+	requestID string
 	// places has an element for each open connection.
 	places chan struct{}
 
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	direct, err := newDirectConn(conn)
+	direct, err := newDirectConn(conn, p.requestID)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -18,7 +18,7 @@
 		listener, err = net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = listener.Close() })
-		l = newLink(listener.Addr().String(), 2)
+		l = newLink(listener.Addr().String(), linkOptions{connections: 2})
 	})
 	take := func() *directConn {
 		GinkgoHelper()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -132,15 +132,25 @@
 		return
 	}
 	defer result.response.Body.Close()
+	if refused := s.n.config.Protocol.check(result.response, s.in.id); refused != nil {
+		s.refuse(refused)
+		return
+	}
 	s.pass(result.response, request, held)
 }
 
 func (s *service) outgoing(body *attemptBody) *sending {
 	out := newSending(s.ctx, s.r, s.served.link.address, s.source, body, 0)
 	h := out.request.Header
-	stripOwn(h, RequestHeader, RouteHeader, VersionHeader)
-	s.fields.setRemaining(h, time.Until(s.deadline))
-	s.fields.setClock(h, s.n.config.Clock)
+	protocol := &s.n.config.Protocol
+	if protocol.own() {
+		stripOwn(h, RequestHeader, RouteHeader, VersionHeader)
+		s.fields.setClock(h, s.n.config.Clock)
+	} else {
+		stripOwn(h)
+		s.fields.set(h, protocol.ExpectedInstance, s.served.target.Instance)
+	}
+	s.fields.setRemaining(h, protocol.Deadline, time.Until(s.deadline))
 	return out
 }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -37,17 +37,31 @@
 type link struct {
 	address     string
 	connections uint32
-	pool        pool
-	transport   *http.Transport
+	// wholeBytes bounds the answers of any framing that are read whole; zero
+	// limits that to short ones of known length.
+	wholeBytes int
+	pool       pool
+	transport  *http.Transport
 }
 
-func newLink(address string, connections uint32) *link {
-	limit := int(connections)
+// linkOptions says how a link is used.
+type linkOptions struct {
+	// connections is the most connections; zero means defaultConnections.
+	connections uint32
+	wholeBytes  int
+	// requestID is the field by which the endpoint tells whose answer it
+	// sends; empty when it does not say.
+	requestID string
+}
+
+func newLink(address string, options linkOptions) *link {
+	limit := int(options.connections)
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	l := &link{address: address, connections: connections}
+	l := &link{address: address, connections: options.connections, wholeBytes: options.wholeBytes}
 	l.pool.address = address
+	l.pool.requestID = options.requestID
 	l.pool.dialer.Timeout = dialTimeout
 	l.pool.places = make(chan struct{}, limit)
 	l.transport = &http.Transport{
@@ -213,7 +227,7 @@
 		result = l.sendTransport(s)
 	}
 	if result.err == nil {
-		if err := gather(result.response); err != nil {
+		if err := gather(result.response, l.wholeBytes); err != nil {
 			return sendResult{err: err, wrote: true}
 		}
 	}
@@ -256,13 +270,17 @@
 // key in a spelling that http.Transport does not look for prevent that.
 // The number of headers that are added makes room for them in the header map.
 func newSending(ctx context.Context, r *http.Request, address string, src *source, body *attemptBody, added int) *sending {
-	s := &sending{direct: src.empty() && r.Method != http.MethodConnect}
+	length, whole := src.whole()
+	s := &sending{direct: (src.empty() || whole && len(r.Trailer) == 0) && r.Method != http.MethodConnect}
 	out := blank.WithContext(ctx)
 	s.request = out
 	out.Method, out.URL, out.Host = r.Method, cloneURL(r, address), r.Host
 	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
 	out.Header = make(http.Header, len(r.Header)+added)
 	out.ContentLength = src.length
+	if whole {
+		out.ContentLength = length
+	}
 	copyEndToEnd(out.Header, r.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		// http.Transport would add its own name.
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -15,10 +15,27 @@
 	retryWindow = time.Second
 )
 
+// BudgetLimits bounds the retries to one service.
+type BudgetLimits struct {
+	// Percent is the part of the requests of a window that may be retried.
+	Percent int
+	// Floor is how many retries per window are always allowed.
+	Floor float64
+	// Window is the interval over which requests and retries are counted. Any
+	// interval of that length sees at most the retries of two windows.
+	Window time.Duration
+}
+
+// DefaultBudgetLimits returns the limits of a service whose operators set only
+// the percentage.
+func DefaultBudgetLimits(percent int) BudgetLimits {
+	return BudgetLimits{Percent: percent, Floor: retryFloor, Window: retryWindow}
+}
+
 // Budget bounds the retries of one daemon to one service. Its methods may be
 // called at the same time.
 type Budget struct {
-	percent  int
+	limits   BudgetLimits
 	mu       sync.Mutex
 	start    time.Time
 	requests float64
@@ -26,8 +43,15 @@
 	retries  float64
 }
 
-// NewBudget returns a budget of the percentage of a service's requests.
-func NewBudget(percent int) *Budget { return &Budget{percent: percent} }
+// NewBudget returns a budget within the limits.
+func NewBudget(limits BudgetLimits) *Budget { return &Budget{limits: limits} }
+
+// Limit replaces the limits. What was counted stays.
+func (b *Budget) Limit(limits BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
 
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
@@ -42,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.roll(now)
-	allowed := max(retryFloor, float64(b.percent)/100*max(b.requests, b.previous))
+	allowed := max(b.limits.Floor, float64(b.limits.Percent)/100*max(b.requests, b.previous))
 	if b.retries+1 > allowed {
 		return false
 	}
@@ -52,11 +76,11 @@
 
 func (b *Budget) roll(now time.Time) {
 	age := now.Sub(b.start)
-	if age < retryWindow {
+	if age < b.limits.Window {
 		return
 	}
 	b.previous = b.requests
-	if age >= 2*retryWindow {
+	if age >= 2*b.limits.Window {
 		b.previous = 0
 	}
 	b.requests = 0
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -12,8 +12,9 @@
 // refuse connections, the fault is more likely on this side, and all are used.
 const maxEjectedPart = 0.5
 
-// Choice is a chosen target and its version.
+// Choice is a chosen target with its service and its version.
 type Choice struct {
+	Service *Service
 	Version *Version
 	Target  *Target
 }
@@ -25,22 +26,55 @@
 	random *rand.Rand
 	// draws chooses the versions of each route, by its name.
 	draws map[string]*move.Draw
+	// parts chooses the services of each split route, by its name.
+	parts map[string]*move.Draw
 }
 
 // NewChooser returns a chooser for a daemon in the failure domain.
 func NewChooser(domain string, random *rand.Rand) *Chooser {
-	return &Chooser{domain: domain, random: random, draws: map[string]*move.Draw{}}
+	return &Chooser{domain: domain, random: random, draws: map[string]*move.Draw{}, parts: map[string]*move.Draw{}}
+}
+
+// chooseService chooses the service of a request on the route. Of any run of
+// requests, each service of a split route gets its part within a few.
+func (c *Chooser) chooseService(r *Route) *Service {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	var total uint64
+	for _, part := range r.Split {
+		total += uint64(part.Weight)
+	}
+	point := drawOf(c.parts, c.random, r.Name).Next() * float64(total)
+	for _, part := range r.Split {
+		point -= float64(part.Weight)
+		if point < 0 {
+			return part.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// drawOf returns the route's draw, which starts at a random position.
+func drawOf(draws map[string]*move.Draw, random *rand.Rand, route string) *move.Draw {
+	d, ok := draws[route]
+	if !ok {
+		d = move.NewDraw(random.Uint64())
+		draws[route] = d
+	}
+	return d
 }
 
 // First chooses for the first attempt of a request. It returns false when the
 // service has no ready target that may take the request.
 func (c *Chooser) First(now time.Time, r *Route) (Choice, bool) {
-	version := c.chooseVersion(r)
+	service := c.chooseService(r)
+	version := c.chooseVersion(r, service)
 	if version == nil {
-		return Choice{}, false
+		return Choice{Service: service}, false
 	}
 	target := c.chooseTarget(now, version.Targets)
-	return Choice{Version: version, Target: target}, target != nil
+	return Choice{Service: service, Version: version, Target: target}, target != nil
 }
 
 // Again chooses for a retry, leaving out the targets that were tried. When
@@ -48,17 +82,17 @@
 // that retries do not add to the share of a new version.
 func (c *Chooser) Again(now time.Time, r *Route, last *Version, tried []*Target) (Choice, bool) {
 	if left := without(last.Targets, tried); len(left) > 0 {
-		return Choice{Version: last, Target: c.chooseTarget(now, left)}, true
+		return Choice{Service: last.service, Version: last, Target: c.chooseTarget(now, left)}, true
 	}
 	if r.Version != "" {
 		return Choice{}, false
 	}
-	for _, v := range r.Service.Versions {
+	for _, v := range last.service.Versions {
 		left := without(v.Targets, tried)
 		if v.New || (v.Share <= 0 && !v.Spare) || len(left) == 0 {
 			continue
 		}
-		return Choice{Version: v, Target: c.chooseTarget(now, left)}, true
+		return Choice{Service: last.service, Version: v, Target: c.chooseTarget(now, left)}, true
 	}
 	return Choice{}, false
 }
@@ -74,23 +108,23 @@
 // to spare ones, and to new ones last. It does not fall to a version that is
 // being proved: a bad one would get all the traffic while the old version's
 // targets restart.
-func (c *Chooser) chooseVersion(r *Route) *Version {
+func (c *Chooser) chooseVersion(r *Route, service *Service) *Version {
 	if r.Version != "" {
-		return usable(r.Service.version(r.Version))
+		return usable(service.version(r.Version))
 	}
-	drawn := draw(c.point(r), r.Service.Versions, func(*Version) bool { return true })
+	drawn := draw(c.point(r, service), service.Versions, func(*Version) bool { return true })
 	if usable(drawn) != nil {
 		return drawn
 	}
-	if v := draw(c.random.Float64(), r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
+	if v := draw(c.random.Float64(), service.Versions, func(v *Version) bool { return usable(v) != nil && !v.New }); v != nil {
 		return v
 	}
-	for _, v := range r.Service.Versions {
+	for _, v := range service.Versions {
 		if v.Spare && usable(v) != nil {
 			return v
 		}
 	}
-	return draw(c.random.Float64(), r.Service.Versions, func(v *Version) bool { return usable(v) != nil && !v.Proving })
+	return draw(c.random.Float64(), service.Versions, func(v *Version) bool { return usable(v) != nil && !v.Proving })
 }
 
 func usable(v *Version) *Version {
@@ -102,16 +136,11 @@
 
 // point returns the next point of the route's draw. Without a move there is no
 // small share to keep to.
-func (c *Chooser) point(r *Route) float64 {
-	if r.Service.Ticket == 0 {
+func (c *Chooser) point(r *Route, service *Service) float64 {
+	if service.Ticket == 0 {
 		return c.random.Float64()
 	}
-	d, ok := c.draws[r.Name]
-	if !ok {
-		d = move.NewDraw(c.random.Uint64())
-		c.draws[r.Name] = d
-	}
-	return d.Next()
+	return drawOf(c.draws, c.random, r.Name).Next()
 }
 
 // draw returns the version at the point of the unit interval that the allowed
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -223,7 +223,7 @@
 var _ = Describe("retry budget", func() {
 	// Guards against retries that multiply the load of a failing service.
 	It("allows a tenth of the requests, and three per second at least", func() {
-		budget := routing.NewBudget(routing.DefaultRetryPercent)
+		budget := routing.NewBudget(routing.DefaultBudgetLimits(routing.DefaultRetryPercent))
 		allowed := func(now time.Time) int {
 			n := 0
 			for budget.Retry(now) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,10 +20,19 @@
 	services map[string]*Service
 }
 
-// Route is a configured route with the service that it leads to.
+// Route is a configured route with the services that it leads to.
 type Route struct {
 	*model.Route
+	// Service is where the requests go, unless the route is split.
 	Service *Service
+	// Split divides the requests among services; it is empty for most routes.
+	Split []Part
+}
+
+// Part is a service's part of a route's requests.
+type Part struct {
+	Service *Service
+	Weight  uint32
 }
 
 // Service holds the versions of a service and their targets.
@@ -50,6 +59,7 @@
 	Spare bool
 	// Targets holds the ready targets, limited to the focus for a new version.
 	Targets []*Target
+	service *Service
 }
 
 // NewTable builds the table of a configuration. The registry supplies the
@@ -61,7 +71,7 @@
 		t.services[name] = newService(c, name, ready[name])
 	}
 	for _, route := range c.State.Routes {
-		entry := &Route{Route: route, Service: t.services[route.Service]}
+		entry := &Route{Route: route, Service: t.services[route.Service], Split: t.split(route)}
 		if entry.Service == nil {
 			continue
 		}
@@ -74,6 +84,16 @@
 	return t
 }
 
+func (t *Table) split(route *model.Route) []Part {
+	var parts []Part
+	for _, part := range route.Split {
+		if service := t.services[part.Service]; service != nil && part.Weight > 0 {
+			parts = append(parts, Part{Service: service, Weight: part.Weight})
+		}
+	}
+	return parts
+}
+
 func longestPrefixFirst(a, b *Route) int {
 	return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.Name, b.Name))
 }
@@ -107,7 +127,7 @@
 	}
 	configured := c.State.Services[name]
 	for _, version := range configured.Versions {
-		v := &Version{Name: version, Share: shares[version], New: gains[version]}
+		v := &Version{service: service, Name: version, Share: shares[version], New: gains[version]}
 		v.Proving = v.New && c.Steps[service.Ticket].Permille <= move.ProvingPermille && !slices.Contains(configured.Proved, version)
 		v.Spare = !v.New && slices.Contains(configured.Proved, version)
 		v.Targets = ofVersion(ready, version)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -14,6 +14,9 @@
 	SlowStart = 10 * time.Second
 	// coldest is the part that a target takes right after its start.
 	coldest = 0.1
+	// statedCold is the part that a target takes while it says itself that it
+	// is cold. Such targets work at about half of their speed.
+	statedCold = 0.5
 	// loadFreshness bounds the age of a load report. A target that looked busy
 	// once would otherwise never be chosen, and so never report again.
 	loadFreshness = time.Second
@@ -161,6 +164,12 @@
 
 // warmth is the part of its normal traffic that the target may take.
 func (t *Target) warmth(now time.Time) float64 {
+	if warm := t.Endpoint.Target.WarmAt; !warm.IsZero() {
+		if now.Before(warm) {
+			return statedCold
+		}
+		return 1
+	}
 	started := t.Endpoint.Target.Started
 	if started.IsZero() {
 		return 1
--- a/internal/ticketfile/decode.go
+++ b/internal/ticketfile/decode.go
@@ -141,6 +141,10 @@
 		"idempotent":  func(v *node) { r.Idempotent = d.boolean(v) },
 		"once":        func(v *node) { r.Once = d.boolean(v) },
 		"timeout":     func(v *node) { r.Timeout = d.duration(v) },
+		"split":       func(v *node) { r.Split = list(d, v, d.weight) },
+		"priority":    func(v *node) { r.Priority = d.small(v) },
+		"objective":   func(v *node) { r.Objective = d.duration(v) },
+		"attempts":    func(v *node) { r.Attempts = d.small(v) },
 	})
 	if r.Idempotent && r.Once {
 		d.add(n.path, "a route is either idempotent or once")
@@ -148,6 +152,15 @@
 	return r
 }
 
+func (d *decoder) weight(n *node) model.Weight {
+	w := model.Weight{}
+	d.object(n, []string{"service", "weight"}, map[string]func(*node){
+		"service": func(v *node) { w.Service = d.name(v) },
+		"weight":  func(v *node) { w.Weight = d.small(v) },
+	})
+	return w
+}
+
 func (d *decoder) move(n *node) model.Move {
 	m := model.Move{Prefer: model.OnTime}
 	d.object(n, []string{"service", "finish"}, map[string]func(*node){
--- a/internal/ticketfile/file.go
+++ b/internal/ticketfile/file.go
@@ -45,6 +45,17 @@
 	Once       bool   `json:"once,omitempty"`
 	// Timeout is a duration with a unit, such as "5s".
 	Timeout string `json:"timeout,omitempty"`
+	// Split, Priority, Objective and Attempts are optional, as in model.Route.
+	Split     []Weight `json:"split,omitempty"`
+	Priority  uint32   `json:"priority,omitempty"`
+	Objective string   `json:"objective,omitempty"`
+	Attempts  uint32   `json:"attempts,omitempty"`
+}
+
+// Weight is the JSON form of a service's part of a route.
+type Weight struct {
+	Service string `json:"service"`
+	Weight  uint32 `json:"weight"`
 }
 
 // Move is the JSON form of a move.
@@ -83,11 +94,17 @@
 	f := Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix,
 		Service: r.Service, Version: r.Version, Class: string(r.Class),
-		Idempotent: r.Idempotent, Once: r.Once,
+		Idempotent: r.Idempotent, Once: r.Once, Priority: r.Priority, Attempts: r.Attempts,
 	}
 	if r.Timeout != 0 {
 		f.Timeout = r.Timeout.String()
 	}
+	if r.Objective != 0 {
+		f.Objective = r.Objective.String()
+	}
+	for _, part := range r.Split {
+		f.Split = append(f.Split, Weight(part))
+	}
 	return f
 }
 
--- a/internal/ticketfile/values.go
+++ b/internal/ticketfile/values.go
@@ -108,6 +108,19 @@
 	return value
 }
 
+// maxSmall bounds priorities, weights and attempts.
+const maxSmall = 1000
+
+func (d *decoder) small(n *node) uint32 {
+	number, ok := n.value.(json.Number)
+	value, err := strconv.ParseUint(number.String(), 10, 32)
+	if !ok || err != nil || value > maxSmall {
+		d.add(n.path, "a whole number from 0 to %d is expected", maxSmall)
+		return 0
+	}
+	return uint32(value)
+}
+
 func (d *decoder) share(n *node) uint32 {
 	number, ok := n.value.(json.Number)
 	value, err := strconv.ParseUint(number.String(), 10, 32)
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -42,9 +42,26 @@
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix,
 		Service: r.Service, Version: r.Version, Class: string(r.Class),
 		Idempotent: r.Idempotent, Once: r.Once, TimeoutMs: r.Timeout.Milliseconds(),
+		Split: splitToWire(r.Split), Priority: r.Priority, ObjectiveMs: r.Objective.Milliseconds(), Attempts: r.Attempts,
 	}
 }
 
+func splitToWire(split []model.Weight) []*Weight {
+	var w []*Weight
+	for _, part := range split {
+		w = append(w, &Weight{Service: part.Service, Weight: part.Weight})
+	}
+	return w
+}
+
+func splitFromWire(w []*Weight) []model.Weight {
+	var split []model.Weight
+	for _, part := range w {
+		split = append(split, model.Weight{Service: part.GetService(), Weight: part.GetWeight()})
+	}
+	return split
+}
+
 func routeFromWire(r *Route) *model.Route {
 	if r == nil {
 		return nil
@@ -54,6 +71,8 @@
 		Service: r.GetService(), Version: r.GetVersion(), Class: model.Class(r.GetClass()),
 		Idempotent: r.GetIdempotent(), Once: r.GetOnce(),
 		Timeout: time.Duration(r.GetTimeoutMs()) * time.Millisecond,
+		Split:   splitFromWire(r.GetSplit()), Priority: r.GetPriority(),
+		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Attempts: r.GetAttempts(),
 	}
 }
 
