Run a daemon whose mesh lives in the platform's store

One program beside each target: the operators' rows, the targets and the moves are read from the platform's store by two watches, and each daemon owns the row of its target. platform/ translates; internal/sidecar and internal/mesh decide.

--- /dev/null
+++ b/cmd/magnoliamount-sidecar/main.go
@@ -0,0 +1,59 @@
+// Command magnoliamount-sidecar runs a daemon on the Lipa platform. It is a
+// program of its own, because the clients of the product's other platform take
+// memory and start-up time.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "magnoliamount-sidecar:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	settings := &cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true}
+	level := &cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"}
+	return &cli.Command{
+		Name: "magnoliamount-sidecar", Usage: "run a daemon on the Lipa platform",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run the daemon until SIGTERM, then drain", Flags: []cli.Flag{settings, level}, Action: run},
+			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
+		},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := platform.ReadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	root, err := logging.New(os.Stdout, c.String("log-level"), s.VM)
+	if err != nil {
+		return err
+	}
+	return platform.Run(ctx, c.String("settings"), root)
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := platform.ReadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("VM %s of service %s: the settings can be used\n", s.VM, s.Service)
+	return err
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -61,6 +61,9 @@
 	Protocol Protocol
 	// BufferBytes is as in OutboundConfig.
 	BufferBytes int
+	// OnTargetLost, if set, is called when the target refuses connections or
+	// another run of a target has its address.
+	OnTargetLost func(instance string, err error)
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/once"
 )
@@ -133,6 +136,9 @@
 	}
 	defer result.response.Body.Close()
 	if refused := s.n.config.Protocol.check(result.response, s.in.id); refused != nil {
+		if refused.refused {
+			s.lost(refused.err)
+		}
 		s.refuse(refused)
 		return
 	}
@@ -158,6 +164,9 @@
 func (s *service) failed(result sendResult, request *run, held claim) {
 	refused := sendFailure(s.ctx, result, "the target")
 	refused.refused = result.refused
+	if result.refused && errors.Is(result.err, syscall.ECONNREFUSED) {
+		s.lost(refused.err)
+	}
 	if refused.outcome == NotRun {
 		held.release()
 	} else if refused.status != http.StatusGatewayTimeout {
@@ -167,6 +176,12 @@
 	s.refuse(refused)
 }
 
+func (s *service) lost(err error) {
+	if s.n.config.OnTargetLost != nil {
+		s.n.config.OnTargetLost(s.served.target.Instance, err)
+	}
+}
+
 func (s *service) crashed(request *run) uint64 {
 	return s.n.running.connectionDied(request, func(print uint64) {
 		if s.n.proven.has(s.n.config.Now(), print) {
--- /dev/null
+++ b/internal/sidecar/evidence.go
@@ -0,0 +1,96 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/wire"
+)
+
+const (
+	// evidencePath takes the reports of other daemons on the peer listener.
+	evidencePath = "/v1/evidence"
+	// evidenceTimeout bounds a report. It is shorter than the interval of
+	// reports, so that they do not pile up.
+	evidenceTimeout = 400 * time.Millisecond
+	// maxReportBytes bounds a report; 64 samples have about 8 kB.
+	maxReportBytes = 256 << 10
+)
+
+// report sends evidence to the leader of a move.
+func (d *Daemon) report(ctx context.Context, r mesh.Report) {
+	reply, err := d.sendReport(ctx, r)
+	d.loop.post(func(now time.Time) { d.node.Reported(now, r, reply, err) })
+}
+
+func (d *Daemon) sendReport(ctx context.Context, r mesh.Report) (mesh.Reply, error) {
+	message := &wire.MoveReport{Vm: d.config.VM, Service: r.Service, Order: r.Order, Epoch: r.Epoch, Brake: r.Brake}
+	for i := range r.Samples {
+		message.Samples = append(message.Samples, r.Samples[i].ToWire())
+	}
+	body, err := proto.Marshal(message)
+	if err != nil {
+		return mesh.Reply{}, fault.Wrap(err, fault.Internal, "encode a report")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+evidencePath, bytes.NewReader(body))
+	if err != nil {
+		return mesh.Reply{}, fault.Wrap(err, fault.Invalid, "the leader's address %q", r.Address)
+	}
+	response, err := d.peers.Do(request)
+	if err != nil {
+		return mesh.Reply{}, fault.Wrap(err, fault.Unavailable, "the leader of the move of service %q", r.Service)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return mesh.Reply{}, fault.Wrap(err, fault.Protocol, "the leader's answer was cut short")
+	}
+	if response.StatusCode != http.StatusOK {
+		return mesh.Reply{}, fault.New(fault.Stale, "the leader answered status %d", response.StatusCode)
+	}
+	var decoded wire.MoveReply
+	if err := proto.Unmarshal(answer, &decoded); err != nil {
+		return mesh.Reply{}, fault.Wrap(err, fault.Protocol, "the leader's answer cannot be decoded")
+	}
+	return mesh.Reply{Stopped: decoded.GetStopped(), Reason: decoded.GetReason()}, nil
+}
+
+// takeReport serves evidencePath.
+func (d *Daemon) takeReport(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes))
+	var message wire.MoveReport
+	if err == nil {
+		err = proto.Unmarshal(body, &message)
+	}
+	if err != nil {
+		http.Error(w, "the report cannot be decoded", http.StatusBadRequest)
+		return
+	}
+	report := mesh.Report{
+		Service: message.GetService(), Order: message.GetOrder(), Epoch: message.GetEpoch(), Brake: message.GetBrake(),
+	}
+	for _, s := range message.GetSamples() {
+		report.Samples = append(report.Samples, move.SampleFromWire(s))
+	}
+	var reply mesh.Reply
+	d.loop.call(func(now time.Time) { reply, err = d.node.TakeReport(now, message.GetVm(), report) })
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	answer, err := proto.Marshal(&wire.MoveReply{Stopped: reply.Stopped, Reason: reply.Reason})
+	if err != nil {
+		http.Error(w, "the reply cannot be encoded", http.StatusInternalServerError)
+		return
+	}
+	// A daemon that has gone away sends its evidence again.
+	_, _ = w.Write(answer)
+}
--- /dev/null
+++ b/internal/sidecar/follow.go
@@ -0,0 +1,166 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+const (
+	// watchWait is how long one call waits for changes. It keeps the calls of
+	// a calm daemon at one every 20 s for each table; a dead connection shows
+	// earlier, by the keep-alive probes of the adapter.
+	watchWait = 20 * time.Second
+	// firstPause and lastPause bound the time between tries of a call that
+	// failed. A daemon is back within half a second of the store's return.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+)
+
+// pause waits between two tries, longer each time, with some jitter so that
+// the daemons do not come back together.
+type pause struct{ next time.Duration }
+
+func (p *pause) wait(ctx context.Context) {
+	p.next = min(max(2*p.next, firstPause), lastPause)
+	jittered := p.next/2 + rand.N(p.next)
+	select {
+	case <-time.After(jittered):
+	case <-ctx.Done():
+	}
+}
+
+func (p *pause) reset() { p.next = 0 }
+
+// follower keeps a copy of a table up to date.
+type follower struct {
+	d     *Daemon
+	table string
+	// reset and change run in the loop.
+	reset  func(now time.Time, all []rows.Row)
+	change func(now time.Time, changes []rows.Change)
+	lost   bool
+	pause  pause
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		snapshot, err := f.d.config.Store.List(ctx, f.table)
+		if !f.noted(ctx, err) {
+			continue
+		}
+		f.d.loop.post(func(now time.Time) { f.reset(now, snapshot.Rows) })
+		f.watch(ctx, snapshot.Version)
+	}
+}
+
+// watch returns when the table has to be listed again.
+func (f *follower) watch(ctx context.Context, version uint64) {
+	for ctx.Err() == nil {
+		changes, next, err := f.d.config.Store.Watch(ctx, f.table, version, watchWait)
+		if fault.Is(err, fault.Stale) {
+			f.d.logger.Info().Str("event", "history-lost").Str("table", f.table).Uint64("version", version).Msg("the table is listed again")
+			return
+		}
+		if !f.noted(ctx, err) {
+			continue
+		}
+		version = next
+		if len(changes) > 0 {
+			f.d.loop.post(func(now time.Time) { f.change(now, changes) })
+		}
+	}
+}
+
+// noted logs a lost or regained store, and waits after a failure.
+func (f *follower) noted(ctx context.Context, err error) bool {
+	if err == nil {
+		if f.lost {
+			f.d.logger.Info().Str("event", "store-regained").Str("table", f.table).Msg("the store answers again")
+		}
+		f.lost = false
+		f.pause.reset()
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if !f.lost {
+		f.d.logger.Warn().Err(err).Str("event", "store-lost").Str("table", f.table).Msg("the store does not answer; the last state stays in force")
+	}
+	f.lost = true
+	f.pause.wait(ctx)
+	return false
+}
+
+func (d *Daemon) followOperators(ctx context.Context) {
+	f := &follower{d: d, table: d.config.Operators.Table(),
+		reset: func(now time.Time, all []rows.Row) {
+			for _, row := range all {
+				d.operatorRow(row)
+			}
+			d.configured = true
+		},
+		change: func(now time.Time, changes []rows.Change) {
+			for _, c := range changes {
+				if !c.Removed {
+					d.operatorRow(c.Row)
+				}
+			}
+		},
+	}
+	f.run(ctx)
+}
+
+// operatorRow takes over what operators wrote. A row that cannot be decoded
+// leaves the last good state in force.
+func (d *Daemon) operatorRow(row rows.Row) {
+	decoded, err := d.config.Operators.Decode(row)
+	if err != nil {
+		d.logger.Error().Err(err).Str("event", "row-refused").Str("row", row.Name).Uint64("version", row.Version).Msg("an operator's row cannot be used")
+		return
+	}
+	switch v := decoded.(type) {
+	case *mesh.Configuration:
+		if d.node.SetConfiguration(v) {
+			d.logger.Info().Str("event", "config-applied").Uint64("config", v.Version).Uint64("version", row.Version).Int("routes", len(v.Routes)).Msg("a configuration is in force")
+		}
+	case *mesh.Order:
+		if d.node.SetOrder(*v) {
+			d.logger.Info().Str("event", "move-ordered").Str("service", v.Service).Str("to", v.Version).Dur("within", v.Within).Uint64("order", v.Revision).Msg("a move is ordered")
+		}
+	}
+}
+
+func (d *Daemon) followMesh(ctx context.Context) {
+	f := &follower{d: d, table: mesh.Table,
+		reset: func(now time.Time, all []rows.Row) {
+			d.refused(d.node.Reset(now, all))
+			for _, row := range all {
+				d.own.saw(row)
+			}
+			if !d.listed {
+				d.listed = true
+				d.resumeTarget(ctx)
+			}
+			d.own.update()
+		},
+		change: func(now time.Time, changes []rows.Change) {
+			d.refused(d.node.Change(now, changes))
+			for _, c := range changes {
+				d.own.saw(c.Row)
+			}
+		},
+	}
+	f.run(ctx)
+}
+
+func (d *Daemon) refused(failures []error) {
+	for _, err := range failures {
+		d.logger.Error().Err(err).Str("event", "row-refused").Msg("a row of the mesh cannot be used")
+	}
+}
