Judge versions by what the daemons beside the targets see

The callers' daemons saw the wait for a slot as part of the latency, so the old version, which was short of servers, looked as slow as the new one; and requests whose callers had left at their deadline were not counted at all. Ruled out: evidence that did not reach the leader (epochs and steps went on). Now the daemon beside a target reports how long a request ran there, and counts one whose caller left after half of its time or later. A daemon sees one version only, so the brake of a single daemon has nothing to compare and is not used.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -45,8 +45,6 @@
 	// heard is when the leader last took evidence, or was first known.
 	heard   time.Time
 	pending []move.Sample
-	brake   *move.Brake
-	watch   *move.TargetWatch
 	// leader is set while this daemon leads.
 	leader *leader
 }
@@ -98,7 +96,7 @@
 	}
 	fresh := m.record == nil || m.record.Order != record.Order
 	if fresh {
-		m.brake, m.watch, m.pending = nil, nil, nil
+		m.pending = nil
 	}
 	if fresh || m.record.Epoch != record.Epoch {
 		m.heard = now
@@ -265,21 +263,6 @@
 	}
 }
 
-// judge lets this daemon's own brake see its samples.
-func (n *Node) judge(now time.Time, m *serviceMove, samples []move.Sample) {
-	if m.brake == nil {
-		m.brake = move.NewBrake(nil)
-		m.watch = move.NewTargetWatch(m.ticket(now, now), m.record.Permille > 0)
-	}
-	m.watch.Update(now, n.counts(m), m.step())
-	stage := m.watch.Stage(now, m.step())
-	stage.CutOff = m.leader == nil && now.Sub(m.heard) > leaderSilence
-	m.brake.Observe(now, stage, samples)
-	if reason, set := m.brake.Set(); set {
-		n.setBrake(m.record.Order, reason)
-	}
-}
-
 func samplesOf(order uint64, samples []move.Sample) []move.Sample {
 	return slices.DeleteFunc(slices.Clone(samples), func(s move.Sample) bool { return s.Key.Ticket != order })
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -209,6 +209,16 @@
 	return max(1, count)
 }
 
+// Move returns the open move of the service, if there is one, and the version
+// that gains traffic by it.
+func (n *Node) Move(service string) (order uint64, to string) {
+	m := n.moves[service]
+	if m == nil || !m.open(n.orders) {
+		return 0, ""
+	}
+	return m.record.Order, m.record.To
+}
+
 // Changed reports whether Routing would differ from its last result.
 func (n *Node) Changed() bool { return n.changed }
 
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -39,8 +39,6 @@
 	// Address is where the leader takes evidence.
 	Address string
 	Samples []move.Sample
-	// Brake says why this daemon stopped the traffic to the version, or "".
-	Brake string
 }
 
 // Reply is what a leader answers to a report.
@@ -71,7 +69,6 @@
 		}
 		if report {
 			own := samplesOf(m.record.Order, samples)
-			n.judge(now, m, own)
 			if r := n.pass(now, m, own); r != nil {
 				reports = append(reports, *r)
 			}
@@ -96,7 +93,7 @@
 	}
 	r := &Report{
 		Service: m.service, Order: m.record.Order, Epoch: m.record.Epoch, Address: m.record.Evidence,
-		Samples: m.pending, Brake: n.brakes[m.record.Order],
+		Samples: m.pending,
 	}
 	m.pending = nil
 	return r
@@ -130,9 +127,6 @@
 	}
 	m.leader.reports[vm] = now
 	m.leader.planner.Observe(now, samplesOf(r.Order, r.Samples))
-	if r.Brake != "" {
-		n.setBrake(r.Order, r.Brake)
-	}
 	reason := n.brakes[r.Order]
 	return Reply{Stopped: reason != "", Reason: reason}, nil
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -392,7 +392,7 @@
 // judged reports whether the request counts for an open move. A caller that
 // has gone away says nothing about the version.
 func (x *exchange) judged(a *attempt) bool {
-	return a.choice.Service.Ticket != 0 && x.route.Version == "" && x.r.Context().Err() == nil
+	return !x.o.config.ObservedAtTargets && a.choice.Service.Ticket != 0 && x.route.Version == "" && x.r.Context().Err() == nil
 }
 
 func (x *exchange) sampleKey(a *attempt) move.SampleKey {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -39,6 +39,9 @@
 	// CallerService is the service of the target on the same VM, which sends
 	// its calls through this proxy.
 	CallerService string
+	// ObservedAtTargets is true when the daemons beside the targets report the
+	// requests of moves, with SetMove, and not this proxy.
+	ObservedAtTargets bool
 	// BufferBytes bounds the bodies and the answers that are read whole before
 	// they are passed on. Zero means that bodies are passed on as they come.
 	BufferBytes int
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -24,8 +24,22 @@
 	proven  *proven
 	current atomic.Pointer[served]
 	setting sync.Mutex
+	move    atomic.Pointer[TargetMove]
 }
 
+// TargetMove is the open move of the target's service.
+type TargetMove struct {
+	// Ticket names the move; zero means that none is open.
+	Ticket uint64
+	// New is true when the target's version gains traffic by the move.
+	New bool
+}
+
+// SetMove makes the proxy report the target's requests for the move's judge.
+// It sees how long a request ran without its wait for a slot, which says
+// nothing about a version.
+func (n *Inbound) SetMove(m TargetMove) { n.move.Store(&m) }
+
 // served is the current target with its limits.
 type served struct {
 	target member.Target
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/move"
 	"github.com/magnoliamount/magnoliamount/internal/once"
 )
 
@@ -129,13 +130,19 @@
 	defer body.Close()
 	begun := s.n.config.Now()
 	result := s.served.link.send(s.outgoing(body))
-	s.n.config.Metrics.firstByte(inboundSide, s.route, s.n.config.Now().Sub(begun))
+	took := s.n.config.Now().Sub(begun)
+	s.n.config.Metrics.firstByte(inboundSide, s.route, took)
 	if result.err != nil {
+		s.observe(took, result.wrote)
 		s.failed(result, request, held)
 		return
 	}
 	defer result.response.Body.Close()
-	if refused := s.n.config.Protocol.check(result.response, s.in.id); refused != nil {
+	refused := s.n.config.Protocol.check(result.response, s.in.id)
+	if refused == nil || refused.outcome != NotRun {
+		s.observe(took-result.setup, refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
+	}
+	if refused != nil {
 		if refused.refused {
 			s.lost(refused.err)
 		}
@@ -145,6 +152,28 @@
 	s.pass(result.response, request, held)
 }
 
+// censoredPart is the part of its time that a request must have run before
+// its caller left for the time to say something about the version.
+const censoredPart = 0.5
+
+// observe reports a request that ran for the judge of the open move.
+func (s *service) observe(took time.Duration, failed bool) {
+	m := s.n.move.Load()
+	if m == nil || m.Ticket == 0 {
+		return
+	}
+	if s.r.Context().Err() != nil {
+		if float64(took) < censoredPart*float64(s.in.remaining) {
+			return
+		}
+		failed = false
+	}
+	s.n.config.Observer.Observe(move.Observation{
+		Key:     move.SampleKey{Ticket: m.Ticket, Route: s.route, Service: s.served.target.Service, New: m.New},
+		Latency: max(0, took), Failed: failed,
+	})
+}
+
 func (s *service) outgoing(body *attemptBody) *sending {
 	out := newSending(s.ctx, s.r, s.served.link.address, s.source, body, 0)
 	h := out.request.Header
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -104,6 +104,7 @@
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: config.Domain, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
 		Protocol: config.Protocol, CallerService: config.Service, BufferBytes: bufferBytes,
+		ObservedAtTargets: true,
 	})
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Observer: d, Metrics: metrics, Protocol: config.Protocol, BufferBytes: bufferBytes, OnTargetLost: d.targetLost,
@@ -149,6 +150,8 @@
 	d.outbound.SetStrikes(crashes)
 	d.inbound.SetStrikes(crashes)
 	d.limitRetries()
+	order, to := d.node.Move(d.config.Service)
+	d.inbound.SetMove(proxy.TargetMove{Ticket: order, New: to == d.target.current.Version})
 	if d.listed && !d.ready.Swap(true) {
 		d.outbound.SetReady(nil)
 		d.logger.Info().Str("event", "ready").Uint64("config", config.State.Revision).Int("endpoints", len(config.Endpoints)).Msg("the daemon serves requests")
--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -32,7 +32,7 @@
 }
 
 func (d *Daemon) sendReport(ctx context.Context, r mesh.Report) (mesh.Reply, error) {
-	message := &wire.MoveReport{Vm: d.config.VM, Service: r.Service, Order: r.Order, Epoch: r.Epoch, Brake: r.Brake}
+	message := &wire.MoveReport{Vm: d.config.VM, Service: r.Service, Order: r.Order, Epoch: r.Epoch}
 	for i := range r.Samples {
 		message.Samples = append(message.Samples, r.Samples[i].ToWire())
 	}
@@ -75,7 +75,7 @@
 		return
 	}
 	report := mesh.Report{
-		Service: message.GetService(), Order: message.GetOrder(), Epoch: message.GetEpoch(), Brake: message.GetBrake(),
+		Service: message.GetService(), Order: message.GetOrder(), Epoch: message.GetEpoch(),
 	}
 	for _, s := range message.GetSamples() {
 		report.Samples = append(report.Samples, move.SampleFromWire(s))
