Ask for a free slot before a request queues, and place by expected finish

Now the daemon beside a target refuses at once what cannot meet its objective there; a caller's daemon asks the cheapest target for a free slot, then two others, and queues at the best. Queues go by priority, then by the end of the objective; every fourth grant goes to the objective that ends first, so that no kind starves.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -15,9 +15,6 @@
 const (
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts = 3
-	// maxTries bounds the daemons that one request is sent to while no target
-	// has seen it: each refuses within a round trip.
-	maxTries = 4
 	// addedHeaders is how many headers most requests to a daemon get.
 	addedHeaders = 6
 	// answerGrace is how long the outbound proxy waits past the deadline for
@@ -58,7 +55,7 @@
 			return
 		}
 		next, ok := x.again(choice)
-		if !ok || len(x.tried) >= x.mostAttempts() || !x.replayable(a) || !x.mayArrive(a, budget) {
+		if !ok || len(x.tried) >= maxAttempts || !x.replayable(a) || !x.mayArrive(a, budget) {
 			x.finish(a, true)
 			return
 		}
@@ -83,14 +80,6 @@
 	}
 }
 
-// mostAttempts is how many daemons the request may be sent to.
-func (x *exchange) mostAttempts() int {
-	if x.o.config.Protocol.checked() {
-		return maxTries
-	}
-	return maxAttempts
-}
-
 // mayArrive reports whether the request may reach another target. One that no
 // target has seen yet costs no retry.
 func (x *exchange) mayArrive(a *attempt, budget *routing.Budget) bool {
@@ -166,6 +155,7 @@
 		x.fields.set(h, OnceHeader, "1")
 	}
 	x.fields.setRemaining(h, DeadlineHeader, time.Until(x.deadline))
+	x.setPlacing(h)
 	x.fields.setClock(h, x.o.config.Clock)
 	x.expect(h)
 	return out
@@ -206,6 +196,10 @@
 	}
 	if load, err := strconv.ParseFloat(h.Get(LoadHeader), 64); err == nil {
 		target.Report(now, load)
+		a.learnPace()
+	}
+	if x.stats != nil && a.outcome() == "" {
+		x.stats.sawAnswer(a.result.response.ContentLength)
 	}
 	if print, ok := number(h, CrashHeader, 16, 64); ok && h.Get(bystanderHeader) == "" {
 		x.o.strikes.Add(now, print)
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
-	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
@@ -33,11 +32,7 @@
 
 // enter waits for a slot. It fails with fault.Overloaded when the request is
 // shed and with fault.Timeout when the context ends first.
-func (g *gate) enter(ctx context.Context, now func() time.Time, class model.Class) (*routing.Waiter, error) {
-	w := &routing.Waiter{Class: class}
-	if deadline, ok := ctx.Deadline(); ok {
-		w.Deadline = deadline
-	}
+func (g *gate) enter(ctx context.Context, now func() time.Time, w *routing.Waiter) (*routing.Waiter, error) {
 	admitted := g.arrive(now(), w)
 	if admitted == nil {
 		return w, verdictError(w.Verdict)
@@ -99,6 +94,12 @@
 	clear(g.waiting)
 }
 
+func (g *gate) pace() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Pace()
+}
+
 func (g *gate) wake(changed []*routing.Waiter) {
 	for _, w := range changed {
 		close(g.waiting[w])
@@ -112,6 +113,10 @@
 		return nil
 	case routing.Abandoned:
 		return fault.New(fault.NotReady, "the target takes no new requests")
+	case routing.ShedBusy:
+		return fault.New(fault.Overloaded, "all slots of the target are taken")
+	case routing.ShedLate:
+		return fault.New(fault.Overloaded, "the target cannot answer in the time that the caller wants")
 	case routing.ShedDeadline:
 		return fault.New(fault.Overloaded, "the target cannot finish the request before its deadline")
 	}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -30,6 +30,16 @@
 	// refusedHeader is "1" on an answer of a daemon whose target takes no
 	// requests, so that the outbound daemon leaves the target out for a while.
 	refusedHeader = "Magnoliamount-Refused"
+	// ObjectiveHeader carries the time until the caller wants its answer, in
+	// milliseconds, PatienceHeader the longest wait for a slot that the sender
+	// accepts, and PriorityHeader the route's priority.
+	ObjectiveHeader = "Magnoliamount-Objective-Ms"
+	PatienceHeader  = "Magnoliamount-Patience-Ms"
+	PriorityHeader  = "Magnoliamount-Priority"
+	// PaceHeader carries the mean time in which the target runs a request, in
+	// milliseconds, and FailuresHeader the part of its requests that failed.
+	PaceHeader     = "Magnoliamount-Pace-Ms"
+	FailuresHeader = "Magnoliamount-Failures"
 	// arrivedHeader is "1" on the answer to a request that reached the target,
 	// though it did not run.
 	arrivedHeader = "Magnoliamount-Arrived"
@@ -48,7 +58,7 @@
 	// loadTextBytes covers the value of LoadHeader; a longer one is allocated.
 	loadTextBytes = 16
 	// fieldValueRoom covers the fields that a call of one attempt sets.
-	fieldValueRoom = 10
+	fieldValueRoom = 16
 )
 
 // hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -45,6 +45,8 @@
 	target member.Target
 	link   *link
 	gate   *gate
+	// failures is kept as long as the run of the target.
+	failures *failureRate
 }
 
 // NewInbound returns a handler for the requests of other daemons.
@@ -74,10 +76,10 @@
 		n.current.Store(nil)
 	} else if old != nil && sameRun(old.target, target) {
 		old.gate.resize(n.config.Now(), target.Slots)
-		n.current.Store(&served{target: target, link: old.link, gate: old.gate})
+		n.current.Store(&served{target: target, link: old.link, gate: old.gate, failures: old.failures})
 		return
 	} else {
-		n.current.Store(&served{target: target, link: n.linkTo(target), gate: newGate(target.Slots)})
+		n.current.Store(&served{target: target, link: n.linkTo(target), gate: newGate(target.Slots), failures: &failureRate{}})
 	}
 	if old != nil {
 		old.link.close()
@@ -122,7 +124,7 @@
 		s.refuse(refused)
 		return
 	}
-	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.class)
+	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.waiter())
 	if err != nil {
 		s.shed(err)
 		return
@@ -251,6 +253,10 @@
 	var room [loadTextBytes]byte
 	load := strconv.AppendFloat(room[:0], s.served.gate.load(), 'f', loadDecimals, 64)
 	s.fields.set(s.w.Header(), LoadHeader, string(load))
+	if !s.n.config.Protocol.own() {
+		s.fields.set(s.w.Header(), PaceHeader, strconv.FormatInt(s.served.gate.pace().Milliseconds(), 10))
+		s.fields.set(s.w.Header(), FailuresHeader, strconv.FormatFloat(s.served.failures.part(), 'f', loadDecimals, 64))
+	}
 }
 
 func (s *service) finished(outcome Outcome) {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -23,6 +23,8 @@
 	targets *routing.Targets
 	strikes *routing.Strikes
 	current atomic.Pointer[snapshot]
+	// stats holds a *routeStats for each route's name.
+	stats sync.Map
 	// unready holds the reason why requests are refused, or nil.
 	unready atomic.Pointer[error]
 
@@ -153,6 +155,10 @@
 		x.refuse(refused)
 		return
 	}
+	if x.stats != nil {
+		x.ask()
+		return
+	}
 	x.run()
 }
 
@@ -177,6 +183,13 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 	tried    []*routing.Target
+	// stats is set for routes with an objective; then objective says until
+	// when the answer is wanted, and late that this is the deadline already.
+	stats     *routeStats
+	objective time.Time
+	late      bool
+	// wait is the patience of the attempt that is sent next.
+	wait time.Duration
 	// arrivals counts the targets that the request may have reached.
 	arrivals int
 	// inDoubt is true once an attempt that may have run was given up.
@@ -223,6 +236,7 @@
 		return notRun(http.StatusGatewayTimeout, fault.New(fault.Timeout, "the deadline has passed"))
 	}
 	x.deadline = time.Now().Add(timeout)
+	x.setObjective()
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(answerGrace))
 	x.source.limitTime(x.w, x.deadline.Add(answerGrace))
 	if x.o.config.BufferBytes > 0 {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -133,12 +133,16 @@
 	took := s.n.config.Now().Sub(begun)
 	s.n.config.Metrics.firstByte(inboundSide, s.route, took)
 	if result.err != nil {
+		if s.ctx.Err() == nil {
+			s.served.failures.add(true)
+		}
 		s.observe(took, result.wrote)
 		s.failed(result, request, held)
 		return
 	}
 	defer result.response.Body.Close()
 	refused := s.n.config.Protocol.check(result.response, s.in.id)
+	s.served.failures.add(refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
 	if refused == nil || refused.outcome != NotRun {
 		s.observe(took-result.setup, refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
 	}
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -15,6 +15,11 @@
 	queuePerSlot = 2
 	// timeWeight is the weight of the newest request in the mean times.
 	timeWeight = 0.1
+	// fairEvery is how many grants go by priority before one goes to the
+	// waiter whose objective ends first, so that no kind of request starves.
+	fairEvery = 4
+	// maxKinds bounds the kinds whose times are kept.
+	maxKinds = 256
 )
 
 // Verdict is what admission decided about a request.
@@ -30,14 +35,27 @@
 	ShedFull
 	// ShedDeadline requests cannot be finished before their deadline.
 	ShedDeadline
+	// ShedBusy requests would wait longer than their patience.
+	ShedBusy
+	// ShedLate requests cannot meet their objective, and others can.
+	ShedLate
 	// Abandoned requests left the queue by themselves.
 	Abandoned
 )
 
 // Waiter is a request at a target's admission.
 type Waiter struct {
-	Class    model.Class
+	Class model.Class
+	// Priority orders the requests of a class; the lowest goes first.
+	Priority uint32
+	// Kind names the route, whose requests take about the same time.
+	Kind     string
 	Deadline time.Time
+	// Objective is when the caller wants its answer; zero means that it did not say.
+	Objective time.Time
+	// Patience is the longest wait that the sender accepts here, because it
+	// can ask other daemons; negative means any.
+	Patience time.Duration
 	Verdict  Verdict
 	admitted time.Time
 }
@@ -49,8 +67,13 @@
 	inUse  int
 	bulk   int
 	queues [classes][]*Waiter
-	// times holds the mean time that requests of a class hold a slot.
+	// times holds the mean time that requests of a class hold a slot, and
+	// kinds that of each kind.
 	times [classes]time.Duration
+	kinds map[string]time.Duration
+	// mean is the mean time of all requests.
+	mean   time.Duration
+	grants int
 }
 
 const classes = 3
@@ -67,35 +90,66 @@
 
 // NewAdmission returns the admission of a target with the number of slots.
 func NewAdmission(slots int) *Admission {
-	return &Admission{slots: max(1, slots)}
+	return &Admission{slots: max(1, slots), kinds: map[string]time.Duration{}}
 }
 
 // Arrive decides about a new request. It returns the waiters whose verdict
 // changed by this, without the new one: a full queue drops its lowest class
 // for a higher one.
 func (a *Admission) Arrive(now time.Time, w *Waiter) []*Waiter {
-	if a.free(w.Class) && a.ahead(w.Class) == 0 {
+	if a.free(w.Class) && a.ahead(w) == 0 {
 		a.admit(now, w)
 		return nil
 	}
-	if a.late(now, w) {
-		w.Verdict = ShedDeadline
+	if w.Verdict = a.refusal(now, w); w.Verdict != Waiting {
 		return nil
 	}
 	var dropped []*Waiter
 	if a.Queued() >= a.slots*queuePerSlot {
-		victim := a.dropBelow(rank(w.Class))
+		victim := a.dropBelow(w)
 		if victim == nil {
 			w.Verdict = ShedFull
 			return nil
 		}
 		dropped = append(dropped, victim)
 	}
-	w.Verdict = Waiting
-	a.queues[rank(w.Class)] = append(a.queues[rank(w.Class)], w)
+	a.enqueue(w)
 	return dropped
 }
 
+// refusal returns the verdict on a request that would have to wait.
+func (a *Admission) refusal(now time.Time, w *Waiter) Verdict {
+	wait, own := a.expectedWait(w), a.expectedTime(w)
+	end := now.Add(wait + own)
+	switch {
+	case !w.Deadline.IsZero() && end.After(w.Deadline):
+		return ShedDeadline
+	case w.Patience >= 0 && wait > w.Patience && !w.Objective.IsZero():
+		return ShedBusy
+	case !w.Objective.IsZero() && end.After(w.Objective):
+		return ShedLate
+	}
+	return Waiting
+}
+
+func (a *Admission) enqueue(w *Waiter) {
+	queue := a.queues[rank(w.Class)]
+	at := len(queue)
+	for at > 0 && before(w, queue[at-1]) {
+		at--
+	}
+	a.queues[rank(w.Class)] = slices.Insert(queue, at, w)
+}
+
+// before reports whether a new waiter goes ahead of one of its class: by
+// priority, then by the end of the objective.
+func before(w, other *Waiter) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
+	}
+	return !w.Objective.IsZero() && (other.Objective.IsZero() || w.Objective.Before(other.Objective))
+}
+
 // Leave gives back the slot of an admitted request and returns the waiters
 // whose verdict changed by this.
 func (a *Admission) Leave(now time.Time, w *Waiter) []*Waiter {
@@ -103,7 +157,7 @@
 	if w.Class == model.Bulk {
 		a.bulk--
 	}
-	a.learn(rank(w.Class), now.Sub(w.admitted))
+	a.learn(w, now.Sub(w.admitted))
 	return a.fill(now)
 }
 
@@ -144,6 +198,9 @@
 	return float64(a.inUse+a.Queued()) / float64(a.slots)
 }
 
+// Pace returns the mean time that requests hold a slot, or zero before the first.
+func (a *Admission) Pace() time.Duration { return a.mean }
+
 func (a *Admission) free(class model.Class) bool {
 	if a.inUse >= a.slots {
 		return false
@@ -162,48 +219,98 @@
 	w.Verdict = Admitted
 }
 
-// fill admits waiters while slots are free, urgent ones first, and sheds
-// those whose deadline cannot be met any more.
+// fill admits waiters while slots are free, and sheds those whose deadline has
+// passed or whose objective cannot be met while others wait.
 func (a *Admission) fill(now time.Time) []*Waiter {
-	var changed []*Waiter
+	changed := a.expire(now)
 	for class := range a.queues {
-		for len(a.queues[class]) > 0 {
-			w := a.queues[class][0]
-			if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
-				w.Verdict = ShedDeadline
-			} else if a.free(w.Class) {
-				a.admit(now, w)
-			} else {
-				break
-			}
-			a.queues[class] = a.queues[class][1:]
+		for len(a.queues[class]) > 0 && a.free(a.queues[class][0].Class) {
+			w := a.next(class)
+			a.admit(now, w)
 			changed = append(changed, w)
 		}
 	}
 	return changed
 }
 
-// ahead counts the waiters that go before a new one of the class.
-func (a *Admission) ahead(class model.Class) int {
+// expire sheds the waiters that have become late.
+func (a *Admission) expire(now time.Time) []*Waiter {
+	var shed []*Waiter
+	waiting := a.Queued()
+	for class, queue := range a.queues {
+		a.queues[class] = slices.DeleteFunc(queue, func(w *Waiter) bool {
+			switch {
+			case !w.Deadline.IsZero() && !now.Before(w.Deadline):
+				w.Verdict = ShedDeadline
+			case !w.Objective.IsZero() && waiting > 1 && now.Add(a.expectedTime(w)).After(w.Objective):
+				w.Verdict = ShedLate
+			default:
+				return false
+			}
+			waiting--
+			shed = append(shed, w)
+			return true
+		})
+	}
+	return shed
+}
+
+// next takes the waiter of the class that goes first. Some grants go to the one
+// whose objective ends first, whatever its priority.
+func (a *Admission) next(class int) *Waiter {
+	queue := a.queues[class]
+	at := 0
+	a.grants++
+	if a.grants%fairEvery == 0 {
+		for i, w := range queue {
+			if !w.Objective.IsZero() && w.Objective.Before(queue[at].Objective) {
+				at = i
+			}
+		}
+	}
+	w := queue[at]
+	a.queues[class] = slices.Delete(queue, at, at+1)
+	return w
+}
+
+// ahead counts the waiters that go before a new one.
+func (a *Admission) ahead(w *Waiter) int {
 	n := 0
-	for i := 0; i <= rank(class); i++ {
+	own := rank(w.Class)
+	for i := range own {
 		n += len(a.queues[i])
 	}
+	for _, other := range a.queues[own] {
+		if !before(w, other) {
+			n++
+		}
+	}
 	return n
 }
 
-// late reports whether the estimated end of the request is after its deadline.
-func (a *Admission) late(now time.Time, w *Waiter) bool {
-	if w.Deadline.IsZero() {
-		return false
+// expectedWait estimates how long a new request would wait for a slot.
+func (a *Admission) expectedWait(w *Waiter) time.Duration {
+	turns := float64(a.ahead(w)+1) / float64(a.slots)
+	return time.Duration(turns * float64(a.meanTime()))
+}
+
+// expectedTime estimates how long a request will hold its slot.
+func (a *Admission) expectedTime(w *Waiter) time.Duration {
+	if t, ok := a.kinds[w.Kind]; ok && w.Kind != "" {
+		return t
+	}
+	if t := a.times[rank(w.Class)]; t > 0 || w.Kind == "" {
+		return t
 	}
-	own := a.times[rank(w.Class)]
-	turns := float64(a.ahead(w.Class)+1) / float64(a.slots)
-	wait := time.Duration(turns * float64(a.meanTime()))
-	return now.Add(wait + own).After(w.Deadline)
+	return a.mean
 }
 
+// meanTime is the mean over the classes, each with the same weight, or over
+// all requests where kinds are told apart.
 func (a *Admission) meanTime() time.Duration {
+	if len(a.kinds) > 0 {
+		return a.mean
+	}
 	var sum time.Duration
 	known := 0
 	for _, t := range a.times {
@@ -215,22 +322,41 @@
 	return sum / time.Duration(max(1, known))
 }
 
-func (a *Admission) learn(class int, held time.Duration) {
-	if a.times[class] == 0 {
-		a.times[class] = held
+func (a *Admission) learn(w *Waiter, held time.Duration) {
+	class := rank(w.Class)
+	a.times[class] = smoothed(a.times[class], held)
+	a.mean = smoothed(a.mean, held)
+	if w.Kind == "" {
 		return
 	}
-	a.times[class] += time.Duration(timeWeight * float64(held-a.times[class]))
+	if _, known := a.kinds[w.Kind]; known || len(a.kinds) < maxKinds {
+		a.kinds[w.Kind] = smoothed(a.kinds[w.Kind], held)
+	}
 }
 
-func (a *Admission) dropBelow(class int) *Waiter {
-	for i := classes - 1; i > class; i-- {
-		if n := len(a.queues[i]); n > 0 {
-			victim := a.queues[i][n-1]
-			a.queues[i] = a.queues[i][:n-1]
-			victim.Verdict = ShedFull
-			return victim
+func smoothed(mean, newest time.Duration) time.Duration {
+	if mean == 0 {
+		return newest
+	}
+	return mean + time.Duration(timeWeight*float64(newest-mean))
+}
+
+// dropBelow drops the last waiter of a lower class, or of a lower priority of
+// the same class.
+func (a *Admission) dropBelow(w *Waiter) *Waiter {
+	own := rank(w.Class)
+	for i := classes - 1; i >= own; i-- {
+		n := len(a.queues[i])
+		if n == 0 {
+			continue
+		}
+		victim := a.queues[i][n-1]
+		if i == own && victim.Priority <= w.Priority {
+			return nil
 		}
+		a.queues[i] = a.queues[i][:n-1]
+		victim.Verdict = ShedFull
+		return victim
 	}
 	return nil
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -81,8 +81,12 @@
 // the version has none left, the retry goes to versions that are not new, so
 // that retries do not add to the share of a new version.
 func (c *Chooser) Again(now time.Time, r *Route, last *Version, tried []*Target) (Choice, bool) {
+	return c.again(r, last, tried, func(left []*Target) *Target { return c.chooseTarget(now, left) })
+}
+
+func (c *Chooser) again(r *Route, last *Version, tried []*Target, choose func([]*Target) *Target) (Choice, bool) {
 	if left := without(last.Targets, tried); len(left) > 0 {
-		return Choice{Service: last.service, Version: last, Target: c.chooseTarget(now, left)}, true
+		return Choice{Service: last.service, Version: last, Target: choose(left)}, true
 	}
 	if r.Version != "" {
 		return Choice{}, false
@@ -92,7 +96,7 @@
 		if v.New || (v.Share <= 0 && !v.Spare) || len(left) == 0 {
 			continue
 		}
-		return Choice{Service: last.service, Version: v, Target: c.chooseTarget(now, left)}, true
+		return Choice{Service: last.service, Version: v, Target: choose(left)}, true
 	}
 	return Choice{}, false
 }
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -27,6 +27,9 @@
 	// breaksToEject is how many requests in a row may break before the target
 	// is left out. One broken connection can be the end of an idle one.
 	breaksToEject = 2
+	// paceFreshness bounds the age of a reported pace. A target that was slow
+	// once gets requests again after it, and so can show that it recovered.
+	paceFreshness = 3 * time.Second
 	// defaultSlots stands in for an announcement without slots.
 	defaultSlots = 10
 )
@@ -46,9 +49,15 @@
 }
 
 type counters struct {
-	inFlight     atomic.Int64
-	load         atomic.Uint64
-	loadAt       atomic.Int64
+	inFlight atomic.Int64
+	load     atomic.Uint64
+	loadAt   atomic.Int64
+	// reportedWith is inFlight when load was reported.
+	reportedWith atomic.Int64
+	// pace is the mean time in which the target runs a request, in nanoseconds,
+	// and failures the part of its recent requests that failed.
+	pace         atomic.Int64
+	failures     atomic.Uint64
 	ejectedUntil atomic.Int64
 	refusals     atomic.Int64
 	// broken counts the requests in a row that got no answer.
@@ -105,9 +114,36 @@
 // queued, over slots.
 func (t *Target) Report(now time.Time, load float64) {
 	t.counters.load.Store(math.Float64bits(load))
+	t.counters.reportedWith.Store(t.counters.inFlight.Load())
 	t.counters.loadAt.Store(now.UnixNano())
 }
 
+// ReportPace records the mean time in which the target runs a request, and the
+// part of its recent requests that failed.
+func (t *Target) ReportPace(pace time.Duration, failures float64) {
+	t.counters.pace.Store(int64(pace))
+	t.counters.failures.Store(math.Float64bits(failures))
+}
+
+// paceOf returns the target's pace, or zero when it is not known.
+func (t *Target) paceOf(now time.Time) time.Duration {
+	if now.UnixNano()-t.counters.loadAt.Load() >= int64(paceFreshness) {
+		return 0
+	}
+	return time.Duration(t.counters.pace.Load())
+}
+
+// occupancy estimates the occupied part of the slots: what was reported last,
+// with what this daemon has sent since.
+func (t *Target) occupancy(now time.Time) float64 {
+	own := float64(t.counters.inFlight.Load())
+	if now.UnixNano()-t.counters.loadAt.Load() >= int64(loadFreshness) {
+		return own / t.slots()
+	}
+	since := own - float64(t.counters.reportedWith.Load())
+	return max(0, math.Float64frombits(t.counters.load.Load())+since/t.slots())
+}
+
 // Refused leaves the target out for a while after a refused connection.
 func (t *Target) Refused(now time.Time) {
 	if t.Ejected(now) {
@@ -145,6 +181,9 @@
 	return now.UnixNano() < t.counters.ejectedUntil.Load()
 }
 
+// failing is the part of the target's recent requests that failed.
+func (t *Target) failing() float64 { return math.Float64frombits(t.counters.failures.Load()) }
+
 func (t *Target) slots() float64 {
 	if t.Endpoint.Target.Slots == 0 {
 		return defaultSlots
