--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,134 @@
+package mesh_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+var _ = Describe("node", func() {
+	// Guards against a daemon that goes back to an older configuration when
+	// two changes cross.
+	It("never goes back to an older configuration", func() {
+		n := mesh.NewNode(mesh.Self{VM: "vm0"})
+		Expect(n.SetConfiguration(configuration(4))).To(BeTrue())
+		Expect(n.SetConfiguration(configuration(3))).To(BeFalse())
+		Expect(n.SetConfiguration(configuration(4))).To(BeFalse())
+		Expect(n.Configuration().Version).To(Equal(uint64(4)))
+	})
+
+	// Guards against traffic to a version that nobody ordered, which a target
+	// that was started early for a move announces.
+	It("gives traffic to the baseline only", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1"})
+		f.run(time.Second)
+		early := mesh.TargetRecord{VM: "vm9", State: "ready", Inbound: "10.0.0.9:1", Service: "order", Version: "v2", Slots: 10}
+		f.put(early.Row())
+		f.run(5 * time.Second)
+		service := f.nodes["vm0"].Routing().State.Services["order"]
+		Expect(service.Versions).To(Equal([]string{"v1"}))
+		Expect(service.Shares).To(Equal(map[string]uint32{"v1": model.TotalShare}))
+	})
+
+	// Guards against a row of another writer that stops a daemon.
+	It("leaves out rows that cannot be decoded and keeps the others", func() {
+		n := mesh.NewNode(mesh.Self{VM: "vm0"})
+		n.SetConfiguration(configuration(1))
+		good := mesh.TargetRecord{VM: "vm1", State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		key := func(name string) rows.Key { return rows.Key{Table: mesh.Table, Name: name} }
+		failures := n.Reset(start, []rows.Row{
+			good.Row(),
+			{Key: key("target/vm2"), Value: []byte("{")},
+			{Key: key("target/vm3"), Value: good.Row().Value},
+			{Key: key("crash/none"), Value: []byte("{}")},
+			{Key: key("move/order"), Value: []byte("[]")},
+			{Key: key("other"), Value: nil},
+		})
+		Expect(failures).To(HaveLen(5))
+		Expect(n.Routing().Endpoints).To(HaveLen(1))
+	})
+
+	// Guards against requests that crash targets all over the mesh because each
+	// daemon knows only its own crashes.
+	It("shares the crashes of requests", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1"})
+		f.nodes["vm0"].Strike(7)
+		f.run(time.Second)
+		f.nodes["vm1"].Strike(7)
+		f.run(time.Second)
+		Expect(f.nodes["vm0"].Crashes()).To(HaveKeyWithValue(uint64(7), uint32(2)))
+	})
+})
+
+var _ = Describe("moves", func() {
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2", "vm3": "v2"})
+		f.run(2 * time.Second)
+		f.sample = traffic(0)
+	})
+
+	// Guards against a good version that is not done by its time.
+	It("completes a good version before its time and makes it the baseline", func() {
+		f.orderMove("v2", 15*time.Second)
+		f.run(15 * time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{mesh.StatusRunning, mesh.StatusDone}))
+		Expect(f.nodes["vm3"].Routing().State.Services["order"].Versions).To(Equal([]string{"v2"}))
+	})
+
+	// Guards against a bad version that keeps traffic.
+	It("takes a bad version back", func() {
+		f.sample = traffic(0.5)
+		order := f.orderMove("v2", 15*time.Second)
+		f.run(15 * time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{mesh.StatusRunning, mesh.StatusTakenBack}))
+		config := f.nodes["vm1"].Routing()
+		Expect(config.State.Open).NotTo(HaveKey(order))
+		Expect(config.State.Services["order"].Versions).To(Equal([]string{"v1"}))
+	})
+
+	// Guards against two daemons that both decide, and against writes that
+	// several daemons repeat.
+	It("has one leader", func() {
+		f.orderMove("v2", 15*time.Second)
+		before := f.writes
+		f.run(time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{mesh.StatusRunning}))
+		Expect(f.writes - before).To(BeNumerically("<=", 2))
+	})
+
+	// Guards against a move that hangs because its leader died or was cut off,
+	// also when the leader comes back and still takes itself for the leader.
+	It("goes on under another leader", func() {
+		f.orderMove("v2", 15*time.Second)
+		f.run(time.Second)
+		first := leaderOf(f)
+		f.cut[first] = true
+		f.run(6 * time.Second)
+		Expect(leaderOf(f)).NotTo(Equal(first))
+		delete(f.cut, first)
+		f.nodes[first].Reset(f.now, values(f))
+		f.run(8 * time.Second)
+		Expect(f.states()[len(f.states())-1]).To(Equal(mesh.StatusDone))
+		Expect(f.states()).To(HaveLen(3))
+	})
+
+	// Guards against a restarted leader that waits for its own silence.
+	It("lets a restarted leader go on at once", func() {
+		f.orderMove("v2", 15*time.Second)
+		f.run(time.Second)
+		first := leaderOf(f)
+		f.start(first, 99)
+		f.nodes[first].SetConfiguration(configuration(1))
+		f.nodes[first].Reset(f.now, values(f))
+		f.nodes[first].SetOrder(mesh.Order{Service: "order", Version: "v2", Within: 15 * time.Second, Revision: f.orderRevision()})
+		f.run(time.Second)
+		Expect(leaderOf(f)).To(Equal(first))
+		Expect(f.states()).To(HaveLen(2))
+	})
+})
