Hold a daemon's memory near 40 MB, and queue at once when all targets are full

Bodies grew in steps that each left garbage. A limit of 40 MB collects as rarely while there is room. Asking three targets for a free slot costs hops just when daemons are busy, so a request queues at once when the cheapest target has lately said that it is full.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -21,6 +21,9 @@
 	prefixBytes = 4 << 10
 	// replayBytes bounds the part of the body that is kept for a retry.
 	replayBytes = 64 << 10
+	// trustedBytes is how much of a body must have come for its stated length
+	// to be believed.
+	trustedBytes = 16 << 10
 	// keptGrowth is the factor by which the room for the kept part grows.
 	keptGrowth = 4
 )
@@ -135,6 +138,9 @@
 	}
 	room := min(max(prefixBytes, keptGrowth*have), s.limit)
 	if s.length >= 0 {
+		if have >= trustedBytes {
+			room = s.limit
+		}
 		room = int(min(int64(room), s.length+1))
 	}
 	next := make([]byte, have, max(room, have+1))
--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -114,7 +114,7 @@
 		x.refuse(x.unavailable(choice.Service.Name))
 		return
 	}
-	last := len(choice.Version.Targets) == 1
+	last := len(choice.Version.Targets) == 1 || choice.Target.Full(x.o.config.Now())
 	for sends := 1; ; sends++ {
 		a := x.sendWith(choice, x.patience(last))
 		if !x.mayRetry(a) {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -27,6 +27,9 @@
 	// breaksToEject is how many requests in a row may break before the target
 	// is left out. One broken connection can be the end of an idle one.
 	breaksToEject = 2
+	// fullFreshness bounds the age of a report by which a target is taken to be
+	// full. A slot becomes free every few milliseconds.
+	fullFreshness = 100 * time.Millisecond
 	// paceFreshness bounds the age of a reported pace. A target that was slow
 	// once gets requests again after it, and so can show that it recovered.
 	paceFreshness = 3 * time.Second
@@ -133,6 +136,12 @@
 	return time.Duration(t.counters.pace.Load())
 }
 
+// Full reports whether the target has said lately that all of its slots are
+// taken.
+func (t *Target) Full(now time.Time) bool {
+	return now.UnixNano()-t.counters.loadAt.Load() < int64(fullFreshness) && t.occupancy(now) >= 1
+}
+
 // occupancy estimates the occupied part of the slots: what was reported last,
 // with what this daemon has sent since.
 func (t *Target) occupancy(now time.Time) float64 {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// memoryLimit is where the collector starts to work harder, in bytes. The
-	// smallest VMs give a daemon about 110 MB.
-	memoryLimit = 64 << 20
+	// memoryLimit is where the collector starts to work harder, in bytes. VMs
+	// bill memory at its peak; a lower limit costs latency in bursts.
+	memoryLimit = 40 << 20
 	// bufferBytes bounds the bodies and answers that are read whole. Uploads
 	// of the users' services have up to 360 kB.
 	bufferBytes = 1 << 20
