Let another daemon lead when the store turns the leader away; fair grants; request logs

The others reached it with their evidence, so nobody took over, and the move stood still for 32 s. Now a leader without the store says so, and another daemon takes over; test in internal/mesh. Uploads, with an objective of 500 ms, starved behind checks with one of 120 ms and the same priority (43% served). Retries, refusals and failures are logged with the inputs of the decision, and a held move with its reason.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -118,6 +118,19 @@
 		Expect(f.states()).To(HaveLen(3))
 	})
 
+	// Guards against a move that hangs because the store turns away its leader
+	// and no other daemon, seen on a hunted day for 32 s.
+	It("goes on under another leader when the store turns the leader away", func() {
+		f.orderMove("v2", 15*time.Second)
+		f.run(time.Second)
+		first := leaderOf(f)
+		f.refused = first
+		f.nodes[first].SetStoreLost(true)
+		f.run(14 * time.Second)
+		Expect(leaderOf(f)).NotTo(Equal(first))
+		Expect(f.states()[len(f.states())-1]).To(Equal(mesh.StatusDone))
+	})
+
 	// Guards against a restarted leader that waits for its own silence.
 	It("lets a restarted leader go on at once", func() {
 		f.orderMove("v2", 15*time.Second)
--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -55,6 +55,8 @@
 	planner *move.Planner
 	// wanted is the record to write, or nil when the store has it.
 	wanted *moveRecord
+	// holding says why the move does not go on, or "".
+	holding string
 	// reports holds when each daemon last sent evidence.
 	reports map[string]time.Time
 }
@@ -161,6 +163,9 @@
 // candidate returns the record with which this daemon would lead the order, or
 // nil while it should not.
 func (n *Node) candidate(now time.Time, store time.Duration, o Order) *moveRecord {
+	if n.storeLost {
+		return nil
+	}
 	m := n.move(o.Service)
 	pause := time.Duration(n.rank(o.Revision)) * candidacyPause
 	if m.record == nil || m.record.Order < o.Revision {
@@ -242,6 +247,7 @@
 	}
 	decision := l.planner.Next(now, move.Conditions{EvidenceLive: n.evidenceLive(now, l), Targets: n.counts(m)})
 	next := *m.record
+	l.holding = decision.Reason
 	switch decision.Kind {
 	case move.Hold:
 		return
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -46,6 +46,8 @@
 	// proposed holds when a baseline was proposed last, by service.
 	proposed map[string]time.Time
 	changed  bool
+	// storeLost is true while the store does not answer this daemon.
+	storeLost bool
 }
 
 type knownTarget struct {
@@ -62,6 +64,9 @@
 	}
 }
 
+// SetStoreLost notes whether the store answers this daemon.
+func (n *Node) SetStoreLost(lost bool) { n.storeLost = lost }
+
 // Configuration returns the configuration in force, or nil.
 func (n *Node) Configuration() *Configuration { return n.config }
 
@@ -219,6 +224,18 @@
 	return m.record.Order, m.record.To
 }
 
+// Holding says why the move of the service that this daemon leads does not go
+// on; it is empty when it leads none.
+func (n *Node) Holding(service string) string {
+	if m := n.moves[service]; m != nil && m.leader != nil && m.open(n.orders) {
+		return m.leader.holding
+	}
+	return ""
+}
+
+// Orders lists the services with an order.
+func (n *Node) Orders() []string { return slices.Sorted(maps.Keys(n.orders)) }
+
 // Changed reports whether Routing would differ from its last result.
 func (n *Node) Changed() bool { return n.changed }
 
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -31,7 +31,9 @@
 	nodes map[string]*mesh.Node
 	order []string
 	// cut holds the nodes that reach neither the store nor each other.
-	cut      map[string]bool
+	cut map[string]bool
+	// refused is turned away by the store but reaches the others.
+	refused  string
 	stored   map[rows.Key]rows.Row
 	version  uint64
 	statuses []mesh.Status
@@ -72,7 +74,7 @@
 	row.Version = f.version
 	f.stored[row.Key] = row
 	for vm, n := range f.nodes {
-		if !f.cut[vm] {
+		if !f.cut[vm] && vm != f.refused {
 			Expect(n.Change(f.now, []rows.Change{{Row: row}})).To(BeEmpty())
 		}
 	}
@@ -124,7 +126,7 @@
 	commits, reports := n.Tick(f.now, f.now.Sub(start), true, samples, report)
 	for _, c := range commits {
 		version, err := uint64(0), fault.New(fault.Unavailable, "cut off")
-		if !f.cut[vm] {
+		if !f.cut[vm] && vm != f.refused {
 			version, err = f.commit(c.Transaction)
 		}
 		if err == nil && c.Status != nil {
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -47,6 +47,9 @@
 	// the daemons also while the store is down.
 	Stopped bool
 	Reason  string
+	// Unable is true while the leader does not reach the store. It still
+	// judges, but another daemon should lead.
+	Unable bool
 }
 
 // Tick advances the moves. The store's clock is needed to lead one; samples
@@ -110,7 +113,7 @@
 		m.pending = move.MergeSamples(append(m.pending, r.Samples...))
 		return
 	}
-	if m.record.Epoch == r.Epoch {
+	if m.record.Epoch == r.Epoch && !reply.Unable {
 		m.heard = now
 	}
 	if reply.Stopped {
@@ -128,7 +131,7 @@
 	m.leader.reports[vm] = now
 	m.leader.planner.Observe(now, samplesOf(r.Order, r.Samples))
 	reason := n.brakes[r.Order]
-	return Reply{Stopped: reason != "", Reason: reason}, nil
+	return Reply{Stopped: reason != "", Reason: reason, Unable: n.storeLost}, nil
 }
 
 // start returns a commit unless the same write is in progress or has just failed.
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -31,6 +31,9 @@
 	refused bool
 	// arrived is set when the request reached a target.
 	arrived bool
+	// asking is set when the sender will ask another target, so that nothing
+	// has been decided about the request.
+	asking bool
 	// retryAfter is when the caller may come back; zero leaves it out.
 	retryAfter time.Duration
 	// crash is the fingerprint of the request if the target died with it.
@@ -102,17 +105,24 @@
 }
 
 // recordRefusal adds refusals that an operator looks for to the time line.
-func recordRefusal(o Observer, refused *refusal, id string) {
+func recordRefusal(o Observer, refused *refusal, id string, inputs func() string) {
 	event := timeline.Event{Request: id, Detail: refused.err.Error()}
 	switch {
+	case refused.asking:
+		return
 	case refused.crash != 0:
 		event.Kind = timeline.TargetCrashed
 	case refused.status == http.StatusUnprocessableEntity && refused.noRetry:
 		event.Kind = timeline.RequestQuarantined
 	case refused.outcome == NotRun && fault.Is(refused.err, fault.Overloaded):
 		event.Kind = timeline.RequestShed
+	case refused.outcome == NotRun && refused.status >= http.StatusInternalServerError:
+		event.Kind = timeline.RequestRefused
+	case refused.outcome == Unknown:
+		event.Kind = timeline.RequestFailed
 	default:
 		return
 	}
+	event.Detail += inputs()
 	o.Record(event)
 }
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -126,7 +126,7 @@
 	}
 	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.waiter())
 	if err != nil {
-		s.shed(err)
+		s.shed(err, waiter.Verdict == routing.ShedBusy)
 		return
 	}
 	defer func() { s.served.gate.leave(n.config.Now(), waiter) }()
@@ -227,19 +227,21 @@
 	return fingerprint(s.r, s.in.key, s.source.prefix())
 }
 
-func (s *service) shed(err error) {
+func (s *service) shed(err error, asking bool) {
 	reason := "queue"
 	if fault.Is(err, fault.Timeout) {
 		reason = "deadline"
 	}
 	s.n.config.Metrics.wasShed(string(s.class), reason)
-	s.refuse(notRun(http.StatusServiceUnavailable, err))
+	refused := notRun(http.StatusServiceUnavailable, err)
+	refused.asking = asking
+	s.refuse(refused)
 }
 
 func (s *service) refuse(refused *refusal) {
 	s.setLoad()
 	s.finished(refused.outcome)
-	recordRefusal(s.n.config.Observer, refused, s.in.id)
+	recordRefusal(s.n.config.Observer, refused, s.in.id, s.inputs)
 	s.early.beforeRefusal(s.source, refused.status)
 	refused.write(s.w, s.in.id)
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -283,7 +283,7 @@
 		setOne(x.w.Header(), x.o.config.Protocol.RequestID, x.in.id)
 	}
 	x.finished(refused.outcome)
-	recordRefusal(x.o.config.Observer, refused, x.in.id)
+	recordRefusal(x.o.config.Observer, refused, x.in.id, x.inputs)
 	x.early.beforeRefusal(x.source, refused.status)
 	refused.write(x.w, x.in.id)
 }
--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -128,6 +128,7 @@
 			return
 		}
 		x.inDoubt = x.inDoubt || a.outcome() == Unknown
+		x.recordRetry(a)
 		x.drop(a)
 		x.o.config.Metrics.retried(x.route.Name)
 	}
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -13,10 +13,14 @@
 	// queuePerSlot is the length of the queue for each slot. A longer queue
 	// only adds latency that callers do not wait for.
 	queuePerSlot = 2
+	// timedPerSlot is the length of the queue for each slot for requests that
+	// have an objective. It bounds memory.
+	timedPerSlot = 16
 	// timeWeight is the weight of the newest request in the mean times.
 	timeWeight = 0.1
-	// fairEvery is how many grants go by priority before one goes to the
-	// waiter whose objective ends first, so that no kind of request starves.
+	// fairEvery is how many grants there are to one that goes to the waiter
+	// that came first. Without it, short requests with a near objective starve
+	// long ones, such as look-ups uploads on a document service.
 	fairEvery = 4
 	// maxKinds bounds the kinds whose times are kept.
 	maxKinds = 256
@@ -57,6 +61,7 @@
 	// can ask other daemons; negative means any.
 	Patience time.Duration
 	Verdict  Verdict
+	arrived  time.Time
 	admitted time.Time
 }
 
@@ -97,6 +102,7 @@
 // changed by this, without the new one: a full queue drops its lowest class
 // for a higher one.
 func (a *Admission) Arrive(now time.Time, w *Waiter) []*Waiter {
+	w.arrived = now
 	if a.free(w.Class) && a.ahead(w) == 0 {
 		a.admit(now, w)
 		return nil
@@ -105,7 +111,7 @@
 		return nil
 	}
 	var dropped []*Waiter
-	if a.Queued() >= a.slots*queuePerSlot {
+	if a.Queued() >= a.room(w) {
 		victim := a.dropBelow(w)
 		if victim == nil {
 			w.Verdict = ShedFull
@@ -117,6 +123,15 @@
 	return dropped
 }
 
+// room is how long the queue may be for the request. An objective bounds the
+// wait by itself, so that short requests need not keep a long one out.
+func (a *Admission) room(w *Waiter) int {
+	if w.Objective.IsZero() {
+		return a.slots * queuePerSlot
+	}
+	return a.slots * timedPerSlot
+}
+
 // refusal returns the verdict on a request that would have to wait.
 func (a *Admission) refusal(now time.Time, w *Waiter) Verdict {
 	wait, own := a.expectedWait(w), a.expectedTime(w)
@@ -256,14 +271,14 @@
 }
 
 // next takes the waiter of the class that goes first. Some grants go to the one
-// whose objective ends first, whatever its priority.
+// that came first, whatever its priority.
 func (a *Admission) next(class int) *Waiter {
 	queue := a.queues[class]
 	at := 0
 	a.grants++
 	if a.grants%fairEvery == 0 {
 		for i, w := range queue {
-			if !w.Objective.IsZero() && w.Objective.Before(queue[at].Objective) {
+			if !w.Objective.IsZero() && w.arrived.Before(queue[at].arrived) {
 				at = i
 			}
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,7 @@
 // Table is what requests are routed with. It is built once for each Config
 // and is immutable, except for the counters of its targets.
 type Table struct {
+	revision uint64
 	hosts    map[string][]*Route
 	services map[string]*Service
 }
@@ -65,7 +66,7 @@
 // NewTable builds the table of a configuration. The registry supplies the
 // counters of targets, so that they survive a change of configuration.
 func NewTable(c *Config, targets *Targets) *Table {
-	t := &Table{hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	t := &Table{revision: c.State.Revision, hosts: map[string][]*Route{}, services: map[string]*Service{}}
 	ready := readyTargets(c.Endpoints, targets)
 	for name := range c.State.Services {
 		t.services[name] = newService(c, name, ready[name])
@@ -202,6 +203,9 @@
 	return longestMatch(t.hosts[""], path)
 }
 
+// Revision is the configuration that the table was built from.
+func (t *Table) Revision() uint64 { return t.revision }
+
 // Service returns the service of the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -136,6 +136,11 @@
 	return time.Duration(t.counters.pace.Load())
 }
 
+// Known returns the load that the target reported last, and how old that is.
+func (t *Target) Known(now time.Time) (load float64, age time.Duration) {
+	return math.Float64frombits(t.counters.load.Load()), time.Duration(now.UnixNano() - t.counters.loadAt.Load())
+}
+
 // Full reports whether the target has said lately that all of its slots are
 // taken.
 func (t *Target) Full(now time.Time) bool {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -38,8 +38,11 @@
 	Retries   Retries
 	// Grace is the time from the request to stop until the platform ends the
 	// process.
-	Grace  time.Duration
-	Logger *log.Logger
+	Grace time.Duration
+	// StopNotice is how long the daemon serves on after that request; zero
+	// means DefaultStopNotice.
+	StopNotice time.Duration
+	Logger     *log.Logger
 }
 
 // Listener serves one protocol of the platform.
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -31,9 +31,9 @@
 	// drainNotice is how long a target that leaves still gets requests, while
 	// the news of it reaches the other daemons through the store.
 	drainNotice = 300 * time.Millisecond
-	// stopNotice is how long the daemon serves on after it was told to stop,
-	// until callers have seen twice, a second apart, that it is not ready.
-	stopNotice = 2500 * time.Millisecond
+	// DefaultStopNotice is how long the daemon serves on after it was told to
+	// stop, until callers have seen twice, a second apart, that it is not ready.
+	DefaultStopNotice = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
 )
@@ -54,6 +54,8 @@
 	servers   servers
 	// requests limits the log lines about single requests.
 	requests logLimit
+	// holding holds the last logged reason of each held move.
+	holding map[string]string
 
 	// configured and listed are set once the operators' table and the
 	// product's own have been read; both belong to the loop.
@@ -70,6 +72,7 @@
 	d := New(config)
 	debug.SetGCPercent(proxy.GCPercent)
 	debug.SetMemoryLimit(memoryLimit)
+	defer d.servers.close()
 	if err := d.servers.listen(d); err != nil {
 		return err
 	}
@@ -89,11 +92,14 @@
 
 // New returns a daemon that does nothing yet.
 func New(config Config) *Daemon {
+	if config.StopNotice == 0 {
+		config.StopNotice = DefaultStopNotice
+	}
 	d := &Daemon{
 		config: config, logger: config.Logger, registry: prometheus.NewRegistry(),
 		events:    timeline.New(config.VM, timelineCapacity, time.Now),
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
-		peers: &http.Client{Timeout: evidenceTimeout},
+		holding: map[string]string{}, peers: &http.Client{Timeout: evidenceTimeout},
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.node = mesh.NewNode(mesh.Self{
@@ -240,7 +246,7 @@
 	began := time.Now()
 	d.loop.call(func(time.Time) { d.own.update() })
 	d.servers.closeAfterAnswers()
-	time.Sleep(stopNotice)
+	time.Sleep(d.config.StopNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.config.Grace-stopMargin))
 	defer cancel()
 	err := d.servers.shutdown(ctx)
--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -60,7 +60,7 @@
 	if err := proto.Unmarshal(answer, &decoded); err != nil {
 		return mesh.Reply{}, fault.Wrap(err, fault.Protocol, "the leader's answer cannot be decoded")
 	}
-	return mesh.Reply{Stopped: decoded.GetStopped(), Reason: decoded.GetReason()}, nil
+	return mesh.Reply{Stopped: decoded.GetStopped(), Reason: decoded.GetReason(), Unable: decoded.GetUnable()}, nil
 }
 
 // takeReport serves evidencePath.
@@ -86,7 +86,7 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
-	answer, err := proto.Marshal(&wire.MoveReply{Stopped: reply.Stopped, Reason: reply.Reason})
+	answer, err := proto.Marshal(&wire.MoveReply{Stopped: reply.Stopped, Reason: reply.Reason, Unable: reply.Unable})
 	if err != nil {
 		http.Error(w, "the reply cannot be encoded", http.StatusInternalServerError)
 		return
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -81,6 +81,7 @@
 	if err == nil {
 		if f.lost {
 			f.d.logger.Info().Str("event", "store-regained").Str("table", f.table).Msg("the store answers again")
+			f.note(false)
 		}
 		f.lost = false
 		f.pause.reset()
@@ -91,12 +92,21 @@
 	}
 	if !f.lost {
 		f.d.logger.Warn().Err(err).Str("event", "store-lost").Str("table", f.table).Msg("the store does not answer; the last state stays in force")
+		f.note(true)
 	}
 	f.lost = true
 	f.pause.wait(ctx)
 	return false
 }
 
+// note tells the node whether the store answers. The watch of the product's
+// own table decides, since moves are written there.
+func (f *follower) note(lost bool) {
+	if f.table == mesh.Table {
+		f.d.loop.post(func(time.Time) { f.d.node.SetStoreLost(lost) })
+	}
+}
+
 func (d *Daemon) followOperators(ctx context.Context) {
 	f := &follower{d: d, table: d.config.Operators.Table(),
 		reset: func(now time.Time, all []rows.Row) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -84,6 +84,7 @@
 	}
 	clock, clocked := d.config.Store.Clock()
 	commits, reports := d.node.Tick(now, clock, clocked, samples, report)
+	d.logHolding()
 	for _, c := range commits {
 		go d.commit(ctx, c)
 	}
@@ -92,6 +93,21 @@
 	}
 }
 
+// logHolding logs why the moves that this daemon leads do not go on, when
+// that changes.
+func (d *Daemon) logHolding() {
+	for _, service := range d.node.Orders() {
+		reason := d.node.Holding(service)
+		if reason == d.holding[service] {
+			continue
+		}
+		d.holding[service] = reason
+		if reason != "" {
+			d.logger.Info().Str("event", "move-held").Str("service", service).Msg(reason)
+		}
+	}
+}
+
 func (d *Daemon) commit(ctx context.Context, c mesh.Commit) {
 	tx := c.Transaction
 	if c.Status != nil {
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// close releases what is still open.
+func (s *servers) close() {
+	for _, one := range s.all {
+		_ = one.http.Close()
+		_ = one.listener.Close()
+	}
+}
+
 // shutdown closes the listeners of requests and waits for those in flight.
 func (s *servers) shutdown(ctx context.Context) error {
 	var group sync.WaitGroup
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -34,6 +34,9 @@
 	TargetCrashed      Kind = "target-crashed"
 	RequestQuarantined Kind = "request-quarantined"
 	RequestShed        Kind = "request-shed"
+	RequestRefused     Kind = "request-refused"
+	RequestFailed      Kind = "request-failed"
+	RequestRetried     Kind = "request-retried"
 	FrameRefused       Kind = "frame-refused"
 )
 
