Exchange rows with other daemons while the store does not answer

A daemon without the store now asks a random other one each 0.4 s for the rows that it lacks, and tells it its own target's record; one that is behind asks in return. Records of one target are ordered by incarnation and sequence, so that neither the store nor a daemon brings an old one back.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -177,10 +177,34 @@
 	if err != nil {
 		return err
 	}
+	if known, ok := n.targets[record.VM]; ok && known.record.newer(record) {
+		return nil
+	}
 	n.targets[record.VM] = knownTarget{record: record, received: now}
 	return nil
 }
 
+// Hear takes a target's record from its own daemon, before the store has it.
+func (n *Node) Hear(now time.Time, record *TargetRecord) {
+	if known, ok := n.targets[record.VM]; ok && !record.newer(known.record) {
+		return
+	}
+	n.targets[record.VM] = knownTarget{record: record, received: now}
+	n.changed = true
+}
+
+// Peers lists where the other daemons take evidence and rows.
+func (n *Node) Peers() []string {
+	var peers []string
+	for vm, known := range n.targets {
+		if vm != n.self.VM && known.record.Peer != "" {
+			peers = append(peers, known.record.Peer)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
 func (n *Node) applyCrash(text string, row rows.Row) error {
 	print, err := strconv.ParseUint(text, 16, 64)
 	if err != nil {
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"encoding/json"
 	"regexp"
 	"strings"
@@ -33,6 +34,8 @@
 type TargetRecord struct {
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"incarnation"`
+	// Sequence counts the changes of the record by one start of the daemon.
+	Sequence uint64 `json:"sequence"`
 	// State is "ready", "draining" or "gone".
 	State   string `json:"state"`
 	Domain  string `json:"domain"`
@@ -126,6 +129,11 @@
 	return record, nil
 }
 
+// newer reports whether the record replaces other, one of the same VM.
+func (r *TargetRecord) newer(other *TargetRecord) bool {
+	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
+}
+
 var states = map[string]member.State{"ready": member.Ready, "draining": member.Draining, "gone": member.Gone}
 
 // endpoint returns the record as an endpoint, received at the time.
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -57,6 +57,13 @@
 	// holding holds the last logged reason of each held move.
 	holding map[string]string
 
+	// tables holds the rows for daemons without the store.
+	tables tables
+	// storeLost is true while the store does not answer.
+	storeLost atomic.Bool
+	// background ends with the daemon.
+	background context.Context
+
 	// configured and listed are set once the operators' table and the
 	// product's own have been read; both belong to the loop.
 	configured bool
@@ -78,6 +85,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	d.background = background
 	d.start(background)
 	d.logger.Info().Str("event", "daemon-started").Str("domain", config.Domain).Str("service", config.Service).Msg("the daemon has started")
 	failed := d.servers.serve()
@@ -99,7 +107,7 @@
 		config: config, logger: config.Logger, registry: prometheus.NewRegistry(),
 		events:    timeline.New(config.VM, timelineCapacity, time.Now),
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
-		holding: map[string]string{}, peers: &http.Client{Timeout: evidenceTimeout},
+		holding: map[string]string{}, tables: newTables(), peers: &http.Client{Timeout: evidenceTimeout},
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.node = mesh.NewNode(mesh.Self{
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -103,6 +103,7 @@
 // own table decides, since moves are written there.
 func (f *follower) note(lost bool) {
 	if f.table == mesh.Table {
+		f.d.storeLost.Store(lost)
 		f.d.loop.post(func(time.Time) { f.d.node.SetStoreLost(lost) })
 	}
 }
@@ -110,14 +111,14 @@
 func (d *Daemon) followOperators(ctx context.Context) {
 	f := &follower{d: d, table: d.config.Operators.Table(),
 		reset: func(now time.Time, all []rows.Row) {
-			for _, row := range all {
+			for _, row := range merge(d.tables.operators, all) {
 				d.operatorRow(row)
 			}
 			d.configured = true
 		},
 		change: func(now time.Time, changes []rows.Change) {
 			for _, c := range changes {
-				if !c.Removed {
+				if !c.Removed && len(merge(d.tables.operators, []rows.Row{c.Row})) > 0 {
 					d.operatorRow(c.Row)
 				}
 			}
@@ -150,18 +151,22 @@
 	f := &follower{d: d, table: mesh.Table,
 		reset: func(now time.Time, all []rows.Row) {
 			d.refused(d.node.Reset(now, all))
+			d.tables.mesh = map[rows.Key]rows.Row{}
+			merge(d.tables.mesh, all)
 			for _, row := range all {
 				d.own.saw(row)
 			}
-			if !d.listed {
-				d.listed = true
-				d.resumeTarget(ctx)
-			}
+			d.meshKnown()
 			d.own.update()
 		},
 		change: func(now time.Time, changes []rows.Change) {
 			d.refused(d.node.Change(now, changes))
 			for _, c := range changes {
+				if c.Removed {
+					delete(d.tables.mesh, c.Key)
+					continue
+				}
+				merge(d.tables.mesh, []rows.Row{c.Row})
 				d.own.saw(c.Row)
 			}
 		},
@@ -169,6 +174,16 @@
 	f.run(ctx)
 }
 
+// meshKnown is called once rows of the product's own table are known.
+func (d *Daemon) meshKnown() {
+	if d.listed {
+		return
+	}
+	d.listed = true
+	d.resumeTarget(d.background)
+	d.own.update()
+}
+
 func (d *Daemon) refused(failures []error) {
 	for _, err := range failures {
 		d.logger.Error().Err(err).Str("event", "row-refused").Msg("a row of the mesh cannot be used")
--- /dev/null
+++ b/internal/sidecar/gossip.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+const (
+	// gossipPath takes what another daemon knows and answers what it lacks.
+	gossipPath = "/v1/rows"
+	// gossipInterval is how often a daemon without the store asks another one.
+	// News then reach a dozen daemons within about two seconds.
+	gossipInterval = 400 * time.Millisecond
+	// maxGossipBytes bounds a message: two tables of up to a few hundred rows.
+	maxGossipBytes = 8 << 20
+)
+
+// known is what a daemon knows of a table.
+type known struct {
+	Version uint64     `json:"version"`
+	Rows    []rows.Row `json:"rows,omitempty"`
+}
+
+// gossip is a message between daemons while the store does not answer one of
+// them. The sender states the versions that it has; the answer holds the rows
+// that it lacks.
+type gossip struct {
+	VM        string             `json:"vm"`
+	Peer      string             `json:"peer"`
+	Operators known              `json:"operators"`
+	Mesh      known              `json:"mesh"`
+	Own       *mesh.TargetRecord `json:"own,omitempty"`
+}
+
+// tables keeps the newest rows of the tables for daemons that lack them. It
+// belongs to the loop.
+type tables struct {
+	operators map[rows.Key]rows.Row
+	mesh      map[rows.Key]rows.Row
+}
+
+func newTables() tables {
+	return tables{operators: map[rows.Key]rows.Row{}, mesh: map[rows.Key]rows.Row{}}
+}
+
+// merge takes over the rows that are newer and returns them.
+func merge(table map[rows.Key]rows.Row, all []rows.Row) []rows.Row {
+	var fresh []rows.Row
+	for _, row := range all {
+		if have, ok := table[row.Key]; !ok || row.Version > have.Version {
+			table[row.Key] = row
+			fresh = append(fresh, row)
+		}
+	}
+	return fresh
+}
+
+func newest(table map[rows.Key]rows.Row) uint64 {
+	var version uint64
+	for _, row := range table {
+		version = max(version, row.Version)
+	}
+	return version
+}
+
+func since(table map[rows.Key]rows.Row, version uint64) []rows.Row {
+	var found []rows.Row
+	for _, row := range table {
+		if row.Version > version {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
+// gossip exchanges rows with other daemons while the store is lost.
+func (d *Daemon) gossip(ctx context.Context) {
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if !d.storeLost.Load() {
+			continue
+		}
+		var peers []string
+		d.loop.call(func(time.Time) { peers = d.node.Peers() })
+		if len(peers) > 0 {
+			d.exchange(ctx, peers[rand.IntN(len(peers))])
+		}
+	}
+}
+
+// digest says what this daemon has. It runs in the loop.
+func (d *Daemon) digest() gossip {
+	return gossip{
+		VM: d.config.VM, Peer: d.config.Peer, Own: d.own.record(),
+		Operators: known{Version: newest(d.tables.operators)}, Mesh: known{Version: newest(d.tables.mesh)},
+	}
+}
+
+// exchange asks the daemon at the address for the rows that this one lacks.
+func (d *Daemon) exchange(ctx context.Context, address string) {
+	var message gossip
+	d.loop.call(func(time.Time) { message = d.digest() })
+	answer, err := d.sendGossip(ctx, address, message)
+	if err != nil {
+		d.logger.Debug().Err(err).Str("event", "gossip-failed").Str("peer", address).Msg("a daemon does not answer")
+		return
+	}
+	d.loop.call(func(now time.Time) { d.takeRows(now, answer) })
+}
+
+func (d *Daemon) sendGossip(ctx context.Context, address string, message gossip) (*gossip, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode what this daemon knows")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+gossipPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "a daemon's address %q", address)
+	}
+	response, err := d.peers.Do(request)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "the daemon at %s", address)
+	}
+	defer response.Body.Close()
+	answer := &gossip{}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxGossipBytes)).Decode(answer); err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "the answer of the daemon at %s", address)
+	}
+	return answer, nil
+}
+
+// takeRows takes over the rows of another daemon. It runs in the loop.
+func (d *Daemon) takeRows(now time.Time, g *gossip) {
+	operators := merge(d.tables.operators, g.Operators.Rows)
+	for _, row := range operators {
+		d.operatorRow(row)
+	}
+	fresh := merge(d.tables.mesh, g.Mesh.Rows)
+	if len(operators)+len(fresh) > 0 {
+		d.logger.Info().Str("event", "rows-heard").Str("from", g.VM).Int("operators", len(operators)).Int("mesh", len(fresh)).Msg("another daemon knew newer rows")
+	}
+	changes := make([]rows.Change, 0, len(fresh))
+	for _, row := range fresh {
+		changes = append(changes, rows.Change{Row: row})
+	}
+	d.refused(d.node.Change(now, changes))
+	for _, row := range fresh {
+		d.own.saw(row)
+	}
+	if g.Own != nil {
+		d.node.Hear(now, g.Own)
+	}
+	d.configured = d.configured || len(operators) > 0
+	if len(fresh) > 0 {
+		d.meshKnown()
+	}
+}
+
+// takeGossip serves gossipPath. A daemon that lacks rows of the sender asks it
+// in return, and so learns of the mesh without the store.
+func (d *Daemon) takeGossip(w http.ResponseWriter, r *http.Request) {
+	var message gossip
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxGossipBytes)).Decode(&message); err != nil {
+		http.Error(w, "the rows cannot be decoded", http.StatusBadRequest)
+		return
+	}
+	var answer gossip
+	behind := false
+	d.loop.call(func(now time.Time) {
+		answer = d.digest()
+		answer.Operators.Rows = since(d.tables.operators, message.Operators.Version)
+		answer.Mesh.Rows = since(d.tables.mesh, message.Mesh.Version)
+		behind = answer.Operators.Version < message.Operators.Version || answer.Mesh.Version < message.Mesh.Version
+		if message.Own != nil {
+			d.node.Hear(now, message.Own)
+		}
+	})
+	w.Header().Set("Content-Type", "application/json")
+	// A daemon that has gone away asks another one.
+	_ = json.NewEncoder(w).Encode(answer)
+	if behind && message.Peer != "" {
+		go d.exchange(context.WithoutCancel(r.Context()), message.Peer)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -49,6 +49,7 @@
 	go d.followOperators(ctx)
 	go d.followMesh(ctx)
 	go d.own.run(ctx)
+	go d.gossip(ctx)
 }
 
 func (d *Daemon) run(ctx context.Context) {
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -28,6 +28,8 @@
 	// base is the incarnation that an earlier start of the daemon came to.
 	base   uint64
 	listed bool
+	// sequence counts the records that were wanted.
+	sequence uint64
 }
 
 func newOwnRow(d *Daemon) *ownRow { return &ownRow{d: d, wake: make(chan struct{}, 1)} }
@@ -77,6 +79,10 @@
 	case t.state != 0:
 		record.State = "draining"
 	}
+	if o.wanted == nil || !same(o.wanted, record) {
+		o.sequence++
+	}
+	record.Sequence = o.sequence
 	o.wanted = record
 	o.mu.Unlock()
 	select {
@@ -146,9 +152,18 @@
 	return o.wanted == written
 }
 
-// same compares rows without the cold time, which passes by itself.
+// record returns what the row should hold, or nil while that is not known.
+func (o *ownRow) record() *mesh.TargetRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.wanted
+}
+
+// same compares rows without the cold time, which passes by itself, and
+// without the sequence.
 func same(a, b *mesh.TargetRecord) bool {
 	x, y := *a, *b
 	x.ColdMS, y.ColdMS = 0, 0
+	x.Sequence, y.Sequence = 0, 0
 	return x == y
 }
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -39,6 +39,7 @@
 func (s *servers) listen(d *Daemon) error {
 	peer := http.NewServeMux()
 	peer.HandleFunc("POST "+evidencePath, d.takeReport)
+	peer.HandleFunc("POST "+gossipPath, d.takeGossip)
 	if err := s.add("caller", d.config.Caller, d.outbound, true); err != nil {
 		return err
 	}
