Notice a store that is down by writes, and find other daemons by their requests

A watch that waits for changes does not notice that the store is down, so daemons that ran on did not ask; and those that had restarted knew no others. Now a failed write counts as a lost store for a second, three daemons are asked at a time, and a daemon that knows nobody asks those that send it requests.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -59,8 +60,11 @@
 
 	// tables holds the rows for daemons without the store.
 	tables tables
-	// storeLost is true while the store does not answer.
-	storeLost atomic.Bool
+	// storeLost is true while the watches of the store fail, and writeFailed
+	// is when a write failed last, in nanoseconds.
+	storeLost   atomic.Bool
+	writeFailed atomic.Int64
+	callers     callers
 	// background ends with the daemon.
 	background context.Context
 
@@ -107,7 +111,7 @@
 		config: config, logger: config.Logger, registry: prometheus.NewRegistry(),
 		events:    timeline.New(config.VM, timelineCapacity, time.Now),
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
-		holding: map[string]string{}, tables: newTables(), peers: &http.Client{Timeout: evidenceTimeout},
+		holding: map[string]string{}, tables: newTables(), callers: callers{port: portOf(config.Peer)}, peers: &http.Client{Timeout: evidenceTimeout},
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.node = mesh.NewNode(mesh.Self{
@@ -126,6 +130,14 @@
 	return d
 }
 
+func portOf(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return port
+}
+
 // timelineCapacity is the number of events that a daemon keeps.
 const timelineCapacity = 1024
 
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -104,7 +104,6 @@
 func (f *follower) note(lost bool) {
 	if f.table == mesh.Table {
 		f.d.storeLost.Store(lost)
-		f.d.loop.post(func(time.Time) { f.d.node.SetStoreLost(lost) })
 	}
 }
 
--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -6,7 +6,10 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -20,6 +23,13 @@
 	// gossipInterval is how often a daemon without the store asks another one.
 	// News then reach a dozen daemons within about two seconds.
 	gossipInterval = 400 * time.Millisecond
+	// gossipFanout is how many daemons are asked at a time.
+	gossipFanout = 3
+	// writeFailedFor is how long a failed write counts as a store that does
+	// not answer. A watch that waits for changes does not notice.
+	writeFailedFor = time.Second
+	// maxCallers bounds the daemons that are known only by their requests.
+	maxCallers = 16
 	// maxGossipBytes bounds a message: two tables of up to a few hundred rows.
 	maxGossipBytes = 8 << 20
 )
@@ -92,17 +102,74 @@
 		case <-ctx.Done():
 			return
 		}
-		if !d.storeLost.Load() {
+		if !d.withoutStore() {
 			continue
 		}
 		var peers []string
 		d.loop.call(func(time.Time) { peers = d.node.Peers() })
-		if len(peers) > 0 {
-			d.exchange(ctx, peers[rand.IntN(len(peers))])
+		if len(peers) == 0 {
+			peers = d.callers.list()
 		}
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, peer := range peers[:min(gossipFanout, len(peers))] {
+			go d.exchange(ctx, peer)
+		}
+	}
+}
+
+// withoutStore reports whether the store does not answer this daemon.
+func (d *Daemon) withoutStore() bool {
+	return d.storeLost.Load() || time.Now().UnixNano()-d.writeFailed.Load() < int64(writeFailedFor)
+}
+
+// noteWrite takes note of how a write to the store ended.
+func (d *Daemon) noteWrite(err error) {
+	switch fault.KindOf(err) {
+	case fault.Unavailable, fault.UnknownOutcome, fault.Throttled:
+		d.writeFailed.Store(time.Now().UnixNano())
+	default:
+		d.writeFailed.Store(0)
+	}
+}
+
+// callers remembers the daemons that send requests. A daemon that starts while
+// the store is down knows no others.
+type callers struct {
+	// port is that of the peer listener, which is the same on all VMs.
+	port string
+	mu   sync.Mutex
+	seen []string
+}
+
+// record wraps the inbound proxy while it is not known who else there is.
+func (c *callers) record(next http.Handler, needed func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if needed() {
+			c.add(r.RemoteAddr)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *callers) add(remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	address := net.JoinHostPort(host, c.port)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.seen) < maxCallers && !slices.Contains(c.seen, address) {
+		c.seen = append(c.seen, address)
 	}
 }
 
+func (c *callers) list() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.seen)
+}
+
 // digest says what this daemon has. It runs in the loop.
 func (d *Daemon) digest() gossip {
 	return gossip{
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -83,6 +83,7 @@
 	if report {
 		samples = d.collector.Drain()
 	}
+	d.node.SetStoreLost(d.withoutStore())
 	clock, clocked := d.config.Store.Clock()
 	commits, reports := d.node.Tick(now, clock, clocked, samples, report)
 	d.logHolding()
@@ -115,6 +116,7 @@
 		tx.Writes = append(tx.Writes, d.config.Operators.Status(*c.Status))
 	}
 	version, err := d.config.Store.Commit(ctx, tx)
+	d.noteWrite(err)
 	entry := d.logger.Info()
 	if err != nil {
 		entry = d.logger.Warn().Err(err)
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -120,6 +120,7 @@
 	next, err := o.d.config.Store.Commit(ctx, rows.Transaction{
 		Conditions: []rows.Condition{{Key: row.Key, Version: version}}, Writes: []rows.Row{row},
 	})
+	o.d.noteWrite(err)
 	if err == nil {
 		row.Version = next
 		o.saw(row)
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -43,7 +43,7 @@
 	if err := s.add("caller", d.config.Caller, d.outbound, true); err != nil {
 		return err
 	}
-	if err := s.add("inbound", d.config.Inbound, d.inbound, true); err != nil {
+	if err := s.add("inbound", d.config.Inbound, d.callers.record(d.inbound, func() bool { return !d.ready.Load() }), true); err != nil {
 		return err
 	}
 	if err := s.add("peer", d.config.Peer, peer, false); err != nil {
