Stay in the failure domain while its targets are about as fast

The cost of another domain is now 30 ms and 3 ms for each kilobyte, bounded by parts of the objective.

--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -90,7 +90,7 @@
 
 func (x *exchange) placement() routing.Placement {
 	length, _ := x.source.whole()
-	return routing.Placement{Bytes: length + x.stats.answerBytes.Load()}
+	return routing.Placement{Bytes: length + x.stats.answerBytes.Load(), Objective: x.route.Objective}
 }
 
 // patience is the wait that the request accepts at the next target.
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -19,31 +19,47 @@
 	failureCost = 500 * time.Millisecond
 	// distanceCost is the cost of another failure domain: a round trip on each
 	// of the two hops, and the price of traffic between domains.
-	distanceCost = 8 * time.Millisecond
+	distanceCost = 30 * time.Millisecond
 	// byteCost is the cost of a kilobyte that goes to another failure domain.
-	byteCost = 1500 * time.Microsecond
-	// maxByteCost keeps long bodies from waiting past their objective.
+	byteCost = 3 * time.Millisecond
+	// maxByteCost bounds the cost of long bodies.
 	maxByteCost = 90 * time.Millisecond
+	// distancePart and bytePart bound both costs by the objective, so that a
+	// request does not miss it in order to stay near.
+	distancePart = 0.125
+	bytePart     = 0.25
 )
 
 // Placement says what matters for the choice of a request's target.
 type Placement struct {
 	// Bytes is the expected size of the body and the answer.
 	Bytes int64
+	// Objective is the latency that callers want; zero means that they did not say.
+	Objective time.Duration
 }
 
-// Placer chooses the target with the least expected time to finish. Its zero
-// value is not usable; see Chooser.Place.
+// placer compares targets for one request by their expected time to finish.
 type placer struct {
 	domain string
 	now    time.Time
 	// pace stands in for targets that have not reported theirs.
-	pace  time.Duration
-	bytes int64
+	pace time.Duration
+	// away is the cost of another failure domain.
+	away time.Duration
 }
 
 func newPlacer(domain string, now time.Time, targets []*Target, p Placement) placer {
-	return placer{domain: domain, now: now, pace: meanPace(now, targets), bytes: p.Bytes}
+	return placer{domain: domain, now: now, pace: meanPace(now, targets), away: p.away()}
+}
+
+// away is the cost of sending the request to another failure domain.
+func (p Placement) away() time.Duration {
+	distance, long := distanceCost, min(maxByteCost, time.Duration(p.Bytes)*byteCost/1024)
+	if p.Objective > 0 {
+		distance = min(distance, time.Duration(distancePart*float64(p.Objective)))
+		long = min(long, time.Duration(bytePart*float64(p.Objective)))
+	}
+	return distance + long
 }
 
 func meanPace(now time.Time, targets []*Target) time.Duration {
@@ -84,7 +100,7 @@
 	if t.Endpoint.Domain == p.domain {
 		return 0
 	}
-	return distanceCost + min(maxByteCost, time.Duration(p.bytes)*byteCost/1024)
+	return p.away
 }
 
 // Place chooses as First does, but by the least expected cost of a sample of
--- /dev/null
+++ b/internal/routing/placement_test.go
@@ -0,0 +1,84 @@
+package routing_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
+)
+
+var _ = Describe("placement", func() {
+	var near, far *routing.Target
+	var route *routing.Route
+	place := func(bytes int64) string {
+		choice, ok := chooser("a").Place(start, route, routing.Placement{Bytes: bytes, Objective: 400 * time.Millisecond})
+		Expect(ok).To(BeTrue())
+		return choice.Target.Endpoint.VM
+	}
+	report := func(t *routing.Target, load float64, pace time.Duration, failures float64) {
+		t.Report(start, load)
+		t.ReportPace(pace, failures)
+	}
+	BeforeEach(func() {
+		state := model.NewState()
+		state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}}
+		state.Routes["all"] = &model.Route{Name: "all", PathPrefix: "/", Service: "order"}
+		config := &routing.Config{State: state}
+		config.Endpoints = append(config.Endpoints, endpoint("near", "v1", "a"), endpoint("far", "v1", "b"))
+		table := routing.NewTable(config, routing.NewTargets())
+		route = table.Match("", "/")
+		near, far = route.Service.Versions[0].Targets[0], route.Service.Versions[0].Targets[1]
+	})
+
+	// Guards against traffic between failure domains while the own one has room.
+	It("stays in the failure domain while the targets there are about as fast", func() {
+		report(near, 0.5, 120*time.Millisecond, 0)
+		report(far, 0.1, 110*time.Millisecond, 0)
+		Expect(place(1000)).To(Equal("near"))
+	})
+
+	// Guards against requests that wait near while targets elsewhere are idle.
+	It("leaves it when the wait there is longer", func() {
+		report(near, 1.5, 120*time.Millisecond, 0)
+		report(far, 0.1, 120*time.Millisecond, 0)
+		Expect(place(1000)).To(Equal("far"))
+	})
+
+	// Guards against slow targets that keep their traffic.
+	It("avoids a slow target", func() {
+		report(near, 0.1, 600*time.Millisecond, 0)
+		report(far, 0.5, 120*time.Millisecond, 0)
+		Expect(place(1000)).To(Equal("far"))
+	})
+
+	// Guards against a target whose health check hides that it fails requests,
+	// which makes it look idle.
+	It("avoids a target that fails requests", func() {
+		report(near, 0, 10*time.Millisecond, 0.45)
+		report(far, 0.7, 120*time.Millisecond, 0)
+		Expect(place(1000)).To(Equal("far"))
+	})
+
+	// Guards against long uploads that cross failure domains for a short wait.
+	It("sends long bodies farther only for a longer wait", func() {
+		report(near, 1.2, 150*time.Millisecond, 0)
+		report(far, 0.1, 120*time.Millisecond, 0)
+		Expect(place(500)).To(Equal("far"))
+		Expect(place(300_000)).To(Equal("near"))
+	})
+
+	// Guards against a target that looked slow or full once and is never asked
+	// again.
+	It("forgets old reports", func() {
+		report(near, 3, time.Second, 0)
+		report(far, 0.1, 120*time.Millisecond, 0)
+		Expect(near.Full(start)).To(BeTrue())
+		later := start.Add(4 * time.Second)
+		Expect(near.Full(later)).To(BeFalse())
+		choice, _ := chooser("a").Place(later, route, routing.Placement{})
+		Expect(choice.Target.Endpoint.VM).To(Equal("near"))
+	})
+})
