--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -31,6 +31,8 @@
 	refused bool
 	// arrived is set when the request reached a target.
 	arrived bool
+	// quarantined is set for a request that crashed several targets.
+	quarantined bool
 	// asking is set when the sender will ask another target, so that nothing
 	// has been decided about the request.
 	asking bool
@@ -112,7 +114,7 @@
 		return
 	case refused.crash != 0:
 		event.Kind = timeline.TargetCrashed
-	case refused.status == http.StatusUnprocessableEntity && refused.noRetry:
+	case refused.quarantined:
 		event.Kind = timeline.RequestQuarantined
 	case refused.outcome == NotRun && fault.Is(refused.err, fault.Overloaded):
 		event.Kind = timeline.RequestShed
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -188,7 +188,7 @@
 			return badBody(err)
 		}
 		if s.n.strikes.Quarantined(s.n.config.Now(), s.fingerprint()) {
-			return quarantined()
+			return quarantined(&s.n.config.Protocol)
 		}
 	}
 	return nil
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -203,7 +203,11 @@
 // prepare checks the request. It returns the answer to one that may not run.
 func (x *exchange) prepare() *refusal {
 	if reason := x.o.unready.Load(); reason != nil {
-		return notRun(http.StatusServiceUnavailable, fault.Wrap(*reason, fault.NotReady, "the daemon may not serve yet"))
+		refused := notRun(http.StatusServiceUnavailable, fault.Wrap(*reason, fault.NotReady, "the daemon may not serve yet"))
+		if x.o.config.Protocol.checked() {
+			refused.retryAfter = notReadyReturn
+		}
+		return refused
 	}
 	var err error
 	if x.in, err = parseInput(x.r.Header, &x.o.config.Protocol); err != nil {
@@ -255,14 +259,20 @@
 		return badBody(err)
 	}
 	if x.quarantined() {
-		return quarantined()
+		return quarantined(&x.o.config.Protocol)
 	}
 	return nil
 }
 
-func quarantined() *refusal {
-	refused := notRun(http.StatusUnprocessableEntity, fault.New(fault.Invalid, "the request crashed several targets and is quarantined"))
-	refused.noRetry = true
+// quarantined is the answer to a request that crashed several targets. Callers
+// that know only statuses are told "not run" by 503.
+func quarantined(protocol *Protocol) *refusal {
+	status := http.StatusUnprocessableEntity
+	if protocol.checked() {
+		status = http.StatusServiceUnavailable
+	}
+	refused := notRun(status, fault.New(fault.Invalid, "the request crashed several targets and is quarantined"))
+	refused.noRetry, refused.quarantined = true, true
 	return refused
 }
 
--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -32,6 +32,12 @@
 const (
 	returnFirst = 0.1
 	returnLast  = 0.3
+)
+
+const (
+	// notReadyReturn is when callers come back to a daemon that has just
+	// started; it is ready a few hundred milliseconds after its start.
+	notReadyReturn = 300 * time.Millisecond
 	// outagePart is the part of the remaining time after which callers come
 	// back when a service has no target at all.
 	outagePart = 0.3
@@ -94,9 +100,9 @@
 }
 
 // patience is the wait that the request accepts at the next target.
-func (x *exchange) patience(last bool) time.Duration {
+func (x *exchange) patience(queueing bool) time.Duration {
 	switch {
-	case !last:
+	case !queueing:
 		return askPatience
 	case x.late:
 		return latePatience
@@ -114,16 +120,18 @@
 		x.refuse(x.unavailable(choice.Service.Name))
 		return
 	}
-	last := len(choice.Version.Targets) == 1 || choice.Target.Full(x.o.config.Now())
+	// queueing is true once the request queues at the next target, and does
+	// not only ask it for a free slot.
+	queueing := len(choice.Version.Targets) == 1 || choice.Target.Full(x.o.config.Now())
 	for sends := 1; ; sends++ {
-		a := x.sendWith(choice, x.patience(last))
-		if !x.mayRetry(a) {
+		x.wait = x.patience(queueing)
+		a := x.send(choice)
+		if !x.mayRetry(a) || queueing && a.shed() || sends >= maxSends {
 			x.answer(a)
 			return
 		}
-		queued := last
-		choice, last, ok = x.nextAsk(choice, last)
-		if !ok || queued && !a.arrived() && a.refused == nil || sends >= maxSends || !x.replayable(a) || !x.mayArrive(a, budget) {
+		choice, queueing, ok = x.nextAsk(choice, queueing)
+		if !ok || !x.replayable(a) || !x.mayArrive(a, budget) {
 			x.answer(a)
 			return
 		}
@@ -134,20 +142,23 @@
 	}
 }
 
+// shed reports whether the target's daemon answered that there is no room.
+func (a *attempt) shed() bool { return a.refused == nil && !a.arrived() && !a.targetLost() }
+
 // maxSends bounds the daemons that one request is sent to.
 const maxSends = 6
 
 // nextAsk chooses the next target, and whether the request queues there.
-func (x *exchange) nextAsk(last routing.Choice, queued bool) (routing.Choice, bool, bool) {
+func (x *exchange) nextAsk(last routing.Choice, queueing bool) (next routing.Choice, queue, ok bool) {
 	x.o.choosing.Lock()
 	defer x.o.choosing.Unlock()
 	now := x.o.config.Now()
-	next, ok := x.o.chooser.PlaceAgain(now, x.route, last.Version, x.tried, x.placement())
-	if ok && (queued || len(x.tried) < maxAsked) {
-		return next, queued, true
+	next, ok = x.o.chooser.PlaceAgain(now, x.route, last.Version, x.tried, x.placement())
+	if ok && (queueing || len(x.tried) < maxAsked) {
+		return next, queueing, true
 	}
 	// All are asked, or enough of them: queue at the best.
-	if queued {
+	if queueing {
 		return last, true, false
 	}
 	best := x.o.chooser.Cheapest(now, last.Version.Targets, x.placement())
@@ -210,12 +221,6 @@
 	a.choice.Target.ReportPace(time.Duration(pace)*time.Millisecond, failures)
 }
 
-// sendWith carries out one attempt with the patience.
-func (x *exchange) sendWith(choice routing.Choice, patience time.Duration) *attempt {
-	x.wait = patience
-	return x.send(choice)
-}
-
 // setPlacing tells the daemon beside the target how the request may wait.
 func (x *exchange) setPlacing(h http.Header) {
 	if x.objective.IsZero() {
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -111,21 +111,17 @@
 	if version == nil {
 		return Choice{Service: service}, false
 	}
-	target := c.cheapest(now, version.Targets, p)
+	target := c.Cheapest(now, version.Targets, p)
 	return Choice{Service: service, Version: version, Target: target}, target != nil
 }
 
 // PlaceAgain chooses as Again does, by cost.
 func (c *Chooser) PlaceAgain(now time.Time, r *Route, last *Version, tried []*Target, p Placement) (Choice, bool) {
-	return c.again(r, last, tried, func(left []*Target) *Target { return c.cheapest(now, left, p) })
+	return c.again(r, last, tried, func(left []*Target) *Target { return c.Cheapest(now, left, p) })
 }
 
 // Cheapest returns the target with the least expected cost, or nil.
 func (c *Chooser) Cheapest(now time.Time, targets []*Target, p Placement) *Target {
-	return c.cheapest(now, targets, p)
-}
-
-func (c *Chooser) cheapest(now time.Time, targets []*Target, p Placement) *Target {
 	targets = withoutEjected(now, targets)
 	if len(targets) == 0 {
 		return nil
