--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -53,6 +53,29 @@
 		Expect(n.Routing().Endpoints).To(HaveLen(1))
 	})
 
+	// Guards against a record that another daemon or a late row brings back
+	// after a newer one.
+	It("keeps the newest record of a target, whoever brings it", func() {
+		n := mesh.NewNode(mesh.Self{VM: "vm0"})
+		n.SetConfiguration(configuration(1))
+		record := func(incarnation, sequence uint64, state string) *mesh.TargetRecord {
+			return &mesh.TargetRecord{VM: "vm1", Incarnation: incarnation, Sequence: sequence, State: state, Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		}
+		stateOf := func() string { return n.Routing().Endpoints[0].State.String() }
+		row := record(1, 1, "ready").Row()
+		row.Version = 5
+		Expect(n.Change(start, []rows.Change{{Row: row}})).To(BeEmpty())
+		n.Hear(start, record(1, 2, "draining"))
+		Expect(stateOf()).To(Equal("draining"))
+		n.Hear(start, record(1, 1, "ready"))
+		Expect(n.Reset(start, []rows.Row{row})).To(BeEmpty())
+		n.Hear(start, record(1, 2, "draining"))
+		Expect(n.Change(start, []rows.Change{{Row: row}})).To(BeEmpty())
+		Expect(stateOf()).To(Equal("draining"), "an old row does not undo what was heard")
+		n.Hear(start, record(2, 1, "ready"))
+		Expect(stateOf()).To(Equal("ready"), "a restarted daemon counts anew")
+	})
+
 	// Guards against requests that crash targets all over the mesh because each
 	// daemon knows only its own crashes.
 	It("shares the crashes of requests", func() {
