Reset aborted requests, and keep idle connections open while a daemon stops

Requests whose callers had left meanwhile were still in the connections that the daemon had closed, and reached the target. Aborted connections are now reset, which drops what was not read; test in internal/proxy, which fails with a plain close. Ruled out: a request held at the daemon (its deadline had passed 0.6 s before). A stopping daemon closed idle connections at once, which crossed requests: found by the spec "stops gracefully" beside load (EOF). It now only answers with Connection: close until its listeners close.

--- a/internal/proxy/direct.go
+++ b/internal/proxy/direct.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -196,8 +197,15 @@
 	return sendResult{response: response, wrote: true, setup: conn.setupTime(base)}, true
 }
 
-// abort ends a round trip whose context has ended.
-func (c *directConn) abort() { _ = c.Close() }
+// abort ends a round trip whose context has ended. It resets the connection:
+// an endpoint that has not read the request yet would otherwise find it after
+// the close, and run it for a caller who has left.
+func (c *directConn) abort() {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = c.Close()
+}
 
 // directBody is the body of an answer. Its connection is used again once the
 // body was read to its end.
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -265,7 +265,6 @@
 	d.stopping.Store(true)
 	began := time.Now()
 	d.loop.call(func(time.Time) { d.own.update() })
-	d.servers.closeAfterAnswers()
 	time.Sleep(d.config.StopNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.config.Grace-stopMargin))
 	defer cancel()
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -40,10 +40,11 @@
 	peer := http.NewServeMux()
 	peer.HandleFunc("POST "+evidencePath, d.takeReport)
 	peer.HandleFunc("POST "+gossipPath, d.takeGossip)
-	if err := s.add("caller", d.config.Caller, d.outbound, true); err != nil {
+	inbound := d.callers.record(d.inbound, func() bool { return !d.ready.Load() })
+	if err := s.add("caller", d.config.Caller, d.closing(d.outbound), true); err != nil {
 		return err
 	}
-	if err := s.add("inbound", d.config.Inbound, d.callers.record(d.inbound, func() bool { return !d.ready.Load() }), true); err != nil {
+	if err := s.add("inbound", d.config.Inbound, d.closing(inbound), true); err != nil {
 		return err
 	}
 	if err := s.add("peer", d.config.Peer, peer, false); err != nil {
@@ -80,14 +81,16 @@
 	return failed
 }
 
-// closeAfterAnswers makes callers open a new connection for their next
-// request, which goes elsewhere.
-func (s *servers) closeAfterAnswers() {
-	for _, one := range s.all {
-		if one.requests {
-			one.http.SetKeepAlivesEnabled(false)
+// closing makes the clients of a stopping daemon open a new connection for their
+// next request, which goes elsewhere. Connections without a request stay open
+// until the listeners close, since closing them now would cross requests.
+func (d *Daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
 		}
-	}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // close releases what is still open.
