--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -98,7 +98,7 @@
 // TargetKey returns the key of a VM's target row.
 func TargetKey(vm string) rows.Key { return ownKey(targetPrefix + vm) }
 
-// Encode returns the row of a record.
+// encode returns the row of a record.
 func encode(key rows.Key, record any) rows.Row {
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -275,7 +275,7 @@
 
 var _ proxy.Observer = (*Daemon)(nil)
 
-// refusal of a start.
+// cannotListen is the failure of a start whose address is taken.
 func cannotListen(err error, name, address string) error {
 	return fault.Wrap(err, fault.Invalid, "cannot listen on %s for %s", address, name)
 }
