--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -21,7 +21,6 @@
 	// gossipPath takes what another daemon knows and answers what it lacks.
 	gossipPath = "/v1/rows"
 	// gossipInterval is how often a daemon without the store asks another one.
-	// News then reach a dozen daemons within about two seconds.
 	gossipInterval = 400 * time.Millisecond
 	// gossipFanout is how many daemons are asked at a time.
 	gossipFanout = 3
