Space the watches of the store by the number of daemons

Each daemon also wrote a row without a target first and one with it shortly after. A watch now starts at least N/100 s after the last one, between 50 ms and 1 s, and a daemon waits 2 s for its target before it publishes that it has none.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -42,6 +42,7 @@
 // Daemon is one running daemon.
 type Daemon struct {
 	config    Config
+	started   time.Time
 	logger    *log.Logger
 	registry  *prometheus.Registry
 	events    *timeline.Recorder
@@ -64,6 +65,8 @@
 	// is when a write failed last, in nanoseconds.
 	storeLost   atomic.Bool
 	writeFailed atomic.Int64
+	// daemons is how many daemons the node knows.
+	daemons atomic.Int64
 	callers     callers
 	// background ends with the daemon.
 	background context.Context
@@ -108,7 +111,7 @@
 		config.StopNotice = DefaultStopNotice
 	}
 	d := &Daemon{
-		config: config, logger: config.Logger, registry: prometheus.NewRegistry(),
+		config: config, started: time.Now(), logger: config.Logger, registry: prometheus.NewRegistry(),
 		events:    timeline.New(config.VM, timelineCapacity, time.Now),
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
 		holding: map[string]string{}, tables: newTables(), callers: callers{port: portOf(config.Peer)}, peers: &http.Client{Timeout: evidenceTimeout},
@@ -167,6 +170,7 @@
 	if !d.node.Changed() {
 		return
 	}
+	d.daemons.Store(int64(d.node.Daemons()))
 	config := d.node.Routing()
 	if config == nil {
 		return
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -19,19 +19,31 @@
 	// failed. A daemon is back within half a second of the store's return.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
+	// watchesPerSecond is how many watches of a table the daemons of the mesh
+	// start together in a second while it keeps changing. Each change wakes the
+	// watch of every daemon, so that without a limit the calls grow with the
+	// square of the daemons. The platform bills each call.
+	watchesPerSecond = 100
+	// minSpacing and maxSpacing bound the time between two watches of a daemon
+	// that follows from it. News may wait that long at a daemon; the platform
+	// gives a configuration two seconds to be in force.
+	minSpacing = 50 * time.Millisecond
+	maxSpacing = time.Second
 )
 
+// watchSpacing is the least time between the starts of two watches of a table
+// by one of the daemons. Changes in between come with one answer.
+func watchSpacing(daemons int) time.Duration {
+	return min(max(time.Duration(daemons)*time.Second/watchesPerSecond, minSpacing), maxSpacing)
+}
+
 // pause waits between two tries, longer each time, with some jitter so that
 // the daemons do not come back together.
 type pause struct{ next time.Duration }
 
 func (p *pause) wait(ctx context.Context) {
 	p.next = min(max(2*p.next, firstPause), lastPause)
-	jittered := p.next/2 + rand.N(p.next)
-	select {
-	case <-time.After(jittered):
-	case <-ctx.Done():
-	}
+	sleep(ctx, p.next/2+rand.N(p.next))
 }
 
 func (p *pause) reset() { p.next = 0 }
@@ -61,6 +73,7 @@
 // watch returns when the table has to be listed again.
 func (f *follower) watch(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		changes, next, err := f.d.config.Store.Watch(ctx, f.table, version, watchWait)
 		if fault.Is(err, fault.Stale) {
 			f.d.logger.Info().Str("event", "history-lost").Str("table", f.table).Uint64("version", version).Msg("the table is listed again")
@@ -72,10 +85,22 @@
 		version = next
 		if len(changes) > 0 {
 			f.d.loop.post(func(now time.Time) { f.change(now, changes) })
+			sleep(ctx, time.Until(began.Add(watchSpacing(int(f.d.daemons.Load())))))
 		}
 	}
 }
 
+// sleep waits for the time, or until ctx ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+}
+
 // noted logs a lost or regained store, and waits after a failure.
 func (f *follower) noted(ctx context.Context, err error) bool {
 	if err == nil {
@@ -180,7 +205,7 @@
 	}
 	d.listed = true
 	d.resumeTarget(d.background)
-	d.own.update()
+	time.AfterFunc(heartbeatWait, func() { d.loop.post(func(time.Time) { d.own.update() }) })
 }
 
 func (d *Daemon) refused(failures []error) {
--- /dev/null
+++ b/internal/sidecar/follow_test.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+// changing is a store whose table has a new row whenever it is asked.
+type changing struct {
+	rows.Store
+	watches atomic.Int64
+}
+
+func (c *changing) List(context.Context, string) (rows.Snapshot, error) {
+	return rows.Snapshot{Version: 1}, nil
+}
+
+func (c *changing) Watch(_ context.Context, table string, after uint64, _ time.Duration) ([]rows.Change, uint64, error) {
+	c.watches.Add(1)
+	return []rows.Change{{Row: rows.Row{Key: rows.Key{Table: table, Name: "x"}, Version: after + 1}}}, after + 1, nil
+}
+
+var _ = Describe("watches of the store", func() {
+	// Guards against calls that grow with the square of the daemons: the start
+	// of 81 daemons made 8,000 calls, since each row woke all of them.
+	It("are spaced by the number of daemons while a table keeps changing", func() {
+		store := &changing{}
+		d := &Daemon{config: Config{Store: store}, loop: newLoop(), logger: logging.Discard().Component("test"), node: mesh.NewNode(mesh.Self{VM: "a"})}
+		d.daemons.Store(20)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var changes atomic.Int64
+		f := &follower{d: d, table: "t", reset: func(time.Time, []rows.Row) {}, change: func(time.Time, []rows.Change) { changes.Add(1) }}
+		go d.run(ctx)
+		go f.run(ctx)
+		time.Sleep(700 * time.Millisecond)
+		// One watch each 200 ms.
+		Expect(store.watches.Load()).To(BeNumerically("<=", 4))
+		Expect(changes.Load()).To(BeNumerically(">=", 2))
+	})
+
+	It("keep a spacing between its bounds", func() {
+		Expect(watchSpacing(0)).To(Equal(minSpacing))
+		Expect(watchSpacing(11)).To(Equal(110 * time.Millisecond))
+		Expect(watchSpacing(490)).To(Equal(maxSpacing))
+	})
+})
