Place requests by the links of the targets' VMs

Uploads of 60 kB went to the three fastest targets of the document service, whose links were then full, and the short checks behind them missed their deadlines; look-ups failed after their work for want of a check. Ruled out: processor (at most 0.02 of 0.16 of a core), full targets, the store. A daemon publishes the rate of its VM's link, and tells with each answer how long bytes wait for it. Bodies that take a slow link 10 ms or more wait for the admission of the daemon beside the target, so that a refusal does not cost the link a transfer.

--- a/internal/member/endpoint.go
+++ b/internal/member/endpoint.go
@@ -50,7 +50,10 @@
 	Address     string
 	Slots       uint32
 	Connections uint32
-	Started     time.Time
+	// LinkRate is what the VM's link carries, in bytes a second; zero means
+	// that it is not known or does not matter.
+	LinkRate uint64
+	Started  time.Time
 	// WarmAt is when the target works at its full speed; zero leaves it to an
 	// estimate from Started.
 	WarmAt time.Time
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -49,6 +49,8 @@
 	Slots    uint32 `json:"slots,omitempty"`
 	// ColdMS is how long the target stayed cold when the row was written, in milliseconds.
 	ColdMS int64 `json:"cold_ms,omitempty"`
+	// LinkRate is what the VM's link carries, in bytes a second.
+	LinkRate uint64 `json:"link_rate,omitempty"`
 }
 
 // baselineRecord names the version that has all traffic of a service when no
@@ -140,7 +142,7 @@
 func (r *TargetRecord) endpoint(received time.Time, connections uint32) member.Endpoint {
 	e := member.Endpoint{
 		VM: r.VM, Incarnation: r.Incarnation, State: states[r.State], Domain: r.Domain, InboundAddress: r.Inbound,
-		Target: member.Target{Service: r.Service, Version: r.Version, Slots: r.Slots, Connections: connections},
+		Target: member.Target{Service: r.Service, Version: r.Version, Slots: r.Slots, Connections: connections, LinkRate: r.LinkRate},
 	}
 	e.Target.WarmAt = received.Add(time.Duration(r.ColdMS) * time.Millisecond)
 	return e
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -157,19 +157,30 @@
 	x.fields.setRemaining(h, DeadlineHeader, time.Until(x.deadline))
 	x.setPlacing(h)
 	x.fields.setClock(h, x.o.config.Clock)
-	x.expect(h)
+	if x.announces(a) {
+		x.fields.set(h, "Expect", "100-continue")
+		x.fields.set(h, hopExpectHeader, "1")
+		out.direct = false
+	}
 	return out
 }
 
-// expect makes a body that cannot be kept for a retry wait until the inbound
-// daemon admits the request, so that a refusal leaves the body unread.
-func (x *exchange) expect(h http.Header) {
-	fits := x.source.length >= 0 && x.source.length <= replayBytes
-	if x.in.expects || fits {
-		return
+// longTransfer is the time on the link of the target's VM from which a body
+// waits until the daemon there has admitted the request. Asking first costs a
+// round trip, a few milliseconds between failure domains.
+const longTransfer = 10 * time.Millisecond
+
+// announces reports whether the body waits until the inbound daemon admits the
+// request, because a refusal would otherwise leave a body that cannot be sent
+// again, or would have used a slow link in vain.
+func (x *exchange) announces(a *attempt) bool {
+	if x.in.expects {
+		return false
+	}
+	if length, whole := x.source.whole(); whole {
+		return a.choice.Target.Transfer(length) >= longTransfer
 	}
-	x.fields.set(h, "Expect", "100-continue")
-	x.fields.set(h, hopExpectHeader, "1")
+	return x.source.length < 0 || x.source.length > replayBytes
 }
 
 // learn updates what is known of the target.
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 const (
@@ -99,6 +100,14 @@
 	}
 }
 
+// measure tells the load of the VM's link how long the body is, if all of it
+// has come.
+func (s *source) measure(load *routing.LinkLoad) {
+	if length, whole := s.whole(); load != nil && whole && length > 0 {
+		load.Body(length)
+	}
+}
+
 // whole returns the length of the body when all of it is kept, or false.
 func (s *source) whole() (int64, bool) {
 	s.mu.Lock()
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/once"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 // GCPercent is the value for debug.SetGCPercent that a daemon should use, with
@@ -25,6 +26,10 @@
 type OutboundConfig struct {
 	// Domain is the daemon's failure domain.
 	Domain string
+	// VM is the daemon's own VM, whose target is reached without the link.
+	VM string
+	// Link, if set, learns what is sent over the VM's link.
+	Link *routing.LinkLoad
 	// Random drives the choice of versions and targets. The Outbound owns it.
 	Random   *rand.Rand
 	Observer Observer
@@ -64,6 +69,8 @@
 	Protocol Protocol
 	// BufferBytes is as in OutboundConfig.
 	BufferBytes int
+	// Link, if set, tells other daemons how long bytes wait for the VM's link.
+	Link *routing.LinkLoad
 	// OnTargetLost, if set, is called when the target refuses connections or
 	// another run of a target has its address.
 	OnTargetLost func(instance string, err error)
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -30,16 +30,31 @@
 	g.wake(g.admission.Resize(now, int(slots)))
 }
 
+// preview fails as enter would if the request came now. It changes nothing
+// but the verdict.
+func (g *gate) preview(now time.Time, w *routing.Waiter) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.Verdict = routing.Abandoned
+	if !g.closed {
+		w.Verdict = g.admission.Preview(now, w)
+	}
+	if w.Verdict == routing.Waiting {
+		return nil
+	}
+	return verdictError(w.Verdict)
+}
+
 // enter waits for a slot. It fails with fault.Overloaded when the request is
 // shed and with fault.Timeout when the context ends first.
-func (g *gate) enter(ctx context.Context, now func() time.Time, w *routing.Waiter) (*routing.Waiter, error) {
+func (g *gate) enter(ctx context.Context, now func() time.Time, w *routing.Waiter) error {
 	admitted := g.arrive(now(), w)
 	if admitted == nil {
-		return w, verdictError(w.Verdict)
+		return verdictError(w.Verdict)
 	}
 	select {
 	case <-admitted:
-		return w, verdictError(w.Verdict)
+		return verdictError(w.Verdict)
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -49,7 +64,7 @@
 	} else if w.Verdict == routing.Admitted {
 		g.wake(g.admission.Leave(now(), w))
 	}
-	return w, fault.Wrap(ctx.Err(), fault.Timeout, "the request waited for a slot until its deadline")
+	return fault.Wrap(ctx.Err(), fault.Timeout, "the request waited for a slot until its deadline")
 }
 
 // arrive returns nil when the verdict is known at once, and else a channel
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -40,6 +40,9 @@
 	// milliseconds, and FailuresHeader the part of its requests that failed.
 	PaceHeader     = "Magnoliamount-Pace-Ms"
 	FailuresHeader = "Magnoliamount-Failures"
+	// LinkWaitHeader carries how long bytes to the sender of an answer wait for
+	// its VM's link, in milliseconds.
+	LinkWaitHeader = "Magnoliamount-Link-Wait-Ms"
 	// arrivedHeader is "1" on the answer to a request that reached the target,
 	// though it did not run.
 	arrivedHeader = "Magnoliamount-Arrived"
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -124,8 +124,21 @@
 		s.refuse(refused)
 		return
 	}
-	waiter, err := s.served.gate.enter(s.ctx, n.config.Now, s.waiter())
-	if err != nil {
+	waiter := s.waiter()
+	if s.announced {
+		if err := s.served.gate.preview(n.config.Now(), waiter); err != nil {
+			s.shed(err, waiter.Verdict == routing.ShedBusy)
+			return
+		}
+		// The link has carried the body by the time of the real decision, and
+		// would carry it once more to another target.
+		waiter.Patience = anyPatience
+	}
+	if refused := s.prepareBody(); refused != nil {
+		s.refuse(refused)
+		return
+	}
+	if err := s.served.gate.enter(s.ctx, n.config.Now, waiter); err != nil {
 		s.shed(err, waiter.Verdict == routing.ShedBusy)
 		return
 	}
@@ -146,15 +159,18 @@
 	served *served
 	class  model.Class
 
-	in       input
-	route    string
-	source   *source
-	early    early
-	once     bool
-	ctx      context.Context
-	cancel   context.CancelFunc
-	deadline time.Time
-	fields   fieldValues
+	in     input
+	route  string
+	source *source
+	early  early
+	once   bool
+	// announced is true when the sender waits for an answer to the header
+	// before it sends the body.
+	announced bool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	deadline  time.Time
+	fields    fieldValues
 }
 
 // prepare checks the request. It returns the answer to one that may not run.
@@ -174,14 +190,22 @@
 	if s.r.Header.Get(hopExpectHeader) != "" {
 		delete(s.r.Header, "Expect")
 		s.in.expects = false
+		s.announced = true
 	}
 	s.source = newSource(s.r, max(prefixBytes, s.n.config.BufferBytes))
 	s.limitTime()
 	s.source.limitTime(s.w, s.deadline)
+	return nil
+}
+
+// prepareBody reads the body as far as it is needed before the request is
+// admitted.
+func (s *service) prepareBody() *refusal {
 	if s.n.config.BufferBytes > 0 {
 		if err := s.source.fillTo(s.n.config.BufferBytes); err != nil {
 			return badBody(err)
 		}
+		s.source.measure(s.n.config.Link)
 	}
 	if s.n.strikes.Any() {
 		if err := s.source.fill(); err != nil {
@@ -257,6 +281,9 @@
 	s.fields.set(s.w.Header(), LoadHeader, string(load))
 	if !s.n.config.Protocol.own() {
 		s.fields.set(s.w.Header(), PaceHeader, strconv.FormatInt(s.served.gate.pace().Milliseconds(), 10))
+		if load := s.n.config.Link; load != nil {
+			s.fields.set(s.w.Header(), LinkWaitHeader, strconv.FormatInt(load.Wait(s.n.config.Now()).Milliseconds(), 10))
+		}
 		s.fields.set(s.w.Header(), FailuresHeader, strconv.FormatFloat(s.served.failures.part(), 'f', loadDecimals, 64))
 	}
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -61,7 +61,7 @@
 		config:  config,
 		targets: routing.NewTargets(),
 		strikes: routing.NewStrikes(),
-		chooser: routing.NewChooser(config.Domain, config.Random),
+		chooser: routing.NewChooser(config.Domain, config.VM, config.Random),
 	}
 	limits := routing.DefaultBudgetLimits(config.RetryPercent)
 	o.limits.Store(&limits)
@@ -119,7 +119,7 @@
 			return l
 		}
 	}
-	return newLink(e.InboundAddress, linkOptions{connections: e.Target.Connections, wholeBytes: o.config.BufferBytes})
+	return newLink(e.InboundAddress, linkOptions{connections: e.Target.Connections, wholeBytes: o.config.BufferBytes, load: o.config.Link})
 }
 
 func closeUnused(old, next *snapshot) {
@@ -247,6 +247,7 @@
 		if err := x.source.fillTo(x.o.config.BufferBytes); err != nil {
 			return badBody(err)
 		}
+		x.source.measure(x.o.config.Link)
 	}
 	return x.checkQuarantine()
 }
--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -219,6 +219,9 @@
 		failures = 0
 	}
 	a.choice.Target.ReportPace(time.Duration(pace)*time.Millisecond, failures)
+	if wait, ok := number(h, LinkWaitHeader, 10, 32); ok {
+		a.choice.Target.ReportLink(time.Duration(wait) * time.Millisecond)
+	}
 }
 
 // setPlacing tells the daemon beside the target how the request may wait.
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 // pool holds the places for connections to one endpoint, and the idle ones
@@ -15,6 +17,8 @@
 	dialer  net.Dialer
 	// requestID is as in linkOptions.
 	requestID string
+	// load is as in linkOptions.
+	load *routing.LinkLoad
 	// places has an element for each open connection.
 	places chan struct{}
 
@@ -116,7 +120,7 @@
 		<-p.places
 		return nil, &dialError{cause: err}
 	}
-	return &countedConn{Conn: conn, places: p.places, dialTime: time.Since(started)}, nil
+	return &countedConn{Conn: conn, places: p.places, dialTime: time.Since(started), load: p.load}, nil
 }
 
 // put keeps a connection whose answer was read to its end.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 const (
@@ -52,6 +54,8 @@
 	// requestID is the field by which the endpoint tells whose answer it
 	// sends; empty when it does not say.
 	requestID string
+	// load, if set, learns what the link's connections carry.
+	load *routing.LinkLoad
 }
 
 func newLink(address string, options linkOptions) *link {
@@ -62,6 +66,7 @@
 	l := &link{address: address, connections: options.connections, wholeBytes: options.wholeBytes}
 	l.pool.address = address
 	l.pool.requestID = options.requestID
+	l.pool.load = options.load
 	l.pool.dialer.Timeout = dialTimeout
 	l.pool.places = make(chan struct{}, limit)
 	l.transport = &http.Transport{
@@ -99,6 +104,17 @@
 	// places gets the connection's place back when it is closed.
 	places chan struct{}
 	closed atomic.Bool
+	// load, if set, learns what the connection carries.
+	load *routing.LinkLoad
+}
+
+// Read counts what is read for the load of the VM's link.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.load != nil {
+		c.load.Received(n)
+	}
+	return n, err
 }
 
 // Close closes the connection and gives its place back once.
@@ -116,6 +132,9 @@
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
+	if c.load != nil {
+		c.load.Sent(n)
+	}
 	return n, err
 }
 
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -123,6 +123,21 @@
 	return dropped
 }
 
+// Preview returns the verdict that Arrive would give, and leaves the queue as
+// it is.
+func (a *Admission) Preview(now time.Time, w *Waiter) Verdict {
+	if a.free(w.Class) && a.ahead(w) == 0 {
+		return Admitted
+	}
+	if verdict := a.refusal(now, w); verdict != Waiting {
+		return verdict
+	}
+	if a.Queued() >= a.room(w) {
+		return ShedFull
+	}
+	return Waiting
+}
+
 // room is how long the queue may be for the request. An objective bounds the
 // wait by itself, so that short requests need not keep a long one out.
 func (a *Admission) room(w *Waiter) int {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -23,6 +23,8 @@
 // use by several goroutines, because its generator is not.
 type Chooser struct {
 	domain string
+	// vm is the daemon's own VM.
+	vm     string
 	random *rand.Rand
 	// draws chooses the versions of each route, by its name.
 	draws map[string]*move.Draw
@@ -30,9 +32,9 @@
 	parts map[string]*move.Draw
 }
 
-// NewChooser returns a chooser for a daemon in the failure domain.
-func NewChooser(domain string, random *rand.Rand) *Chooser {
-	return &Chooser{domain: domain, random: random, draws: map[string]*move.Draw{}, parts: map[string]*move.Draw{}}
+// NewChooser returns a chooser for a daemon on the VM in the failure domain.
+func NewChooser(domain, vm string, random *rand.Rand) *Chooser {
+	return &Chooser{domain: domain, vm: vm, random: random, draws: map[string]*move.Draw{}, parts: map[string]*move.Draw{}}
 }
 
 // chooseService chooses the service of a request on the route. Of any run of
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -41,15 +41,18 @@
 // placer compares targets for one request by their expected time to finish.
 type placer struct {
 	domain string
+	vm     string
 	now    time.Time
 	// pace stands in for targets that have not reported theirs.
 	pace time.Duration
 	// away is the cost of another failure domain.
 	away time.Duration
+	// bytes is what crosses the links of both VMs.
+	bytes int64
 }
 
-func newPlacer(domain string, now time.Time, targets []*Target, p Placement) placer {
-	return placer{domain: domain, now: now, pace: meanPace(now, targets), away: p.away()}
+func (c *Chooser) newPlacer(now time.Time, targets []*Target, p Placement) placer {
+	return placer{domain: c.domain, vm: c.vm, now: now, pace: meanPace(now, targets), away: p.away(), bytes: p.Bytes}
 }
 
 // away is the cost of sending the request to another failure domain.
@@ -93,6 +96,9 @@
 		cost += float64(pace) * over
 	}
 	cost += t.failing() * float64(failureCost)
+	if p.vm == "" || t.Endpoint.VM != p.vm {
+		cost += float64(t.linkTime(p.now, p.bytes))
+	}
 	return time.Duration(cost) + p.distance(t)
 }
 
@@ -126,7 +132,7 @@
 	if len(targets) == 0 {
 		return nil
 	}
-	placer := newPlacer(c.domain, now, targets, p)
+	placer := c.newPlacer(now, targets, p)
 	start, n := c.random.IntN(len(targets)), min(len(targets), placementCandidates)
 	var best *Target
 	var least time.Duration
--- a/internal/routing/suite_test.go
+++ b/internal/routing/suite_test.go
@@ -64,7 +64,7 @@
 }
 
 func chooser(domain string) *routing.Chooser {
-	return routing.NewChooser(domain, rand.New(rand.NewPCG(1, 2)))
+	return routing.NewChooser(domain, "", rand.New(rand.NewPCG(1, 2)))
 }
 
 const draws = 20_000
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -59,8 +59,11 @@
 	reportedWith atomic.Int64
 	// pace is the mean time in which the target runs a request, in nanoseconds,
 	// and failures the part of its recent requests that failed.
-	pace         atomic.Int64
-	failures     atomic.Uint64
+	pace     atomic.Int64
+	failures atomic.Uint64
+	// linkWait is how long bytes wait for the link of the target's VM, in
+	// nanoseconds.
+	linkWait     atomic.Int64
 	ejectedUntil atomic.Int64
 	refusals     atomic.Int64
 	// broken counts the requests in a row that got no answer.
@@ -128,9 +131,36 @@
 	t.counters.failures.Store(math.Float64bits(failures))
 }
 
+// ReportLink records how long bytes wait for the link of the target's VM.
+func (t *Target) ReportLink(wait time.Duration) { t.counters.linkWait.Store(int64(wait)) }
+
+// linkTime is how long the body of a request takes to come over the link of
+// the target's VM.
+func (t *Target) linkTime(now time.Time, bytes int64) time.Duration {
+	if t.reportAge(now) >= loadFreshness {
+		return t.Transfer(bytes)
+	}
+	return t.Transfer(bytes) + time.Duration(t.counters.linkWait.Load())
+}
+
+// Transfer is how long the link of the target's VM takes for the bytes when
+// nothing else uses it.
+func (t *Target) Transfer(bytes int64) time.Duration {
+	rate := t.Endpoint.Target.LinkRate
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
+}
+
+// reportAge is how long ago the target reported its load.
+func (t *Target) reportAge(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - t.counters.loadAt.Load())
+}
+
 // paceOf returns the target's pace, or zero when it is not known.
 func (t *Target) paceOf(now time.Time) time.Duration {
-	if now.UnixNano()-t.counters.loadAt.Load() >= int64(paceFreshness) {
+	if t.reportAge(now) >= paceFreshness {
 		return 0
 	}
 	return time.Duration(t.counters.pace.Load())
@@ -138,20 +168,20 @@
 
 // Known returns the load that the target reported last, and how old that is.
 func (t *Target) Known(now time.Time) (load float64, age time.Duration) {
-	return math.Float64frombits(t.counters.load.Load()), time.Duration(now.UnixNano() - t.counters.loadAt.Load())
+	return math.Float64frombits(t.counters.load.Load()), t.reportAge(now)
 }
 
 // Full reports whether the target has said lately that all of its slots are
 // taken.
 func (t *Target) Full(now time.Time) bool {
-	return now.UnixNano()-t.counters.loadAt.Load() < int64(fullFreshness) && t.occupancy(now) >= 1
+	return t.reportAge(now) < fullFreshness && t.occupancy(now) >= 1
 }
 
 // occupancy estimates the occupied part of the slots: what was reported last,
 // with what this daemon has sent since.
 func (t *Target) occupancy(now time.Time) float64 {
 	own := float64(t.counters.inFlight.Load())
-	if now.UnixNano()-t.counters.loadAt.Load() >= int64(loadFreshness) {
+	if t.reportAge(now) >= loadFreshness {
 		return own / t.slots()
 	}
 	since := own - float64(t.counters.reportedWith.Load())
@@ -209,7 +239,7 @@
 // this daemon and by the reported load.
 func (t *Target) busyness(now time.Time) float64 {
 	busy := float64(t.counters.inFlight.Load()) / t.slots()
-	if now.UnixNano()-t.counters.loadAt.Load() < int64(loadFreshness) {
+	if t.reportAge(now) < loadFreshness {
 		busy += math.Float64frombits(t.counters.load.Load())
 	}
 	return busy
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -36,6 +36,9 @@
 	Protocol  proxy.Protocol
 	Health    HealthCheck
 	Retries   Retries
+	// LinkRate is what the VM's link carries, in bytes a second; zero means
+	// that it does not matter.
+	LinkRate uint64
 	// Grace is the time from the request to stop until the platform ends the
 	// process.
 	Grace time.Duration
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -65,9 +65,11 @@
 	// is when a write failed last, in nanoseconds.
 	storeLost   atomic.Bool
 	writeFailed atomic.Int64
+	// link is the load of the VM's link, or nil when its rate is not known.
+	link *routing.LinkLoad
 	// daemons is how many daemons the node knows.
 	daemons atomic.Int64
-	callers     callers
+	callers callers
 	// background ends with the daemon.
 	background context.Context
 
@@ -116,6 +118,9 @@
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
 		holding: map[string]string{}, tables: newTables(), callers: callers{port: portOf(config.Peer)}, peers: &http.Client{Timeout: evidenceTimeout},
 	}
+	if config.LinkRate > 0 {
+		d.link = routing.NewLinkLoad(config.LinkRate)
+	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.node = mesh.NewNode(mesh.Self{
 		VM: config.VM, Run: rand.Uint64(), Domain: config.Domain, Inbound: config.Inbound, Peer: config.Peer,
@@ -123,12 +128,13 @@
 	d.own = newOwnRow(d)
 	metrics := proxy.NewMetrics(d.registry)
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
-		Domain: config.Domain, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
+		Domain: config.Domain, VM: config.VM, Link: d.link, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
 		Protocol: config.Protocol, CallerService: config.Service, BufferBytes: bufferBytes,
 		ObservedAtTargets: true,
 	})
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Observer: d, Metrics: metrics, Protocol: config.Protocol, BufferBytes: bufferBytes, OnTargetLost: d.targetLost,
+		Link: d.link,
 	})
 	return d
 }
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -73,7 +73,7 @@
 	t := d.target
 	record := &mesh.TargetRecord{
 		VM: d.config.VM, Incarnation: o.base + 1 + t.incarnation, State: "gone", Domain: d.config.Domain,
-		Inbound: d.config.Inbound, Peer: d.config.Peer,
+		Inbound: d.config.Inbound, Peer: d.config.Peer, LinkRate: d.config.LinkRate,
 	}
 	if t.state != 0 {
 		record.Service, record.Version, record.Instance, record.Slots = t.current.Service, t.current.Version, t.current.Instance, t.current.Slots
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
 const (
@@ -33,7 +34,52 @@
 	requests bool
 }
 
-type servers struct{ all []*server }
+type servers struct {
+	all []*server
+	// link, if set, learns what the listeners of requests carry.
+	link *routing.LinkLoad
+}
+
+// meteredListener counts what its connections carry over the VM's link.
+type meteredListener struct {
+	net.Listener
+	link *routing.LinkLoad
+}
+
+// Accept implements net.Listener. Connections from the VM itself do not use
+// its link.
+func (l *meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil || sameHost(conn.RemoteAddr(), conn.LocalAddr()) {
+		return conn, err
+	}
+	return &meteredConn{Conn: conn, link: l.link}, nil
+}
+
+func sameHost(a, b net.Addr) bool {
+	x, isTCP := a.(*net.TCPAddr)
+	y, areTCP := b.(*net.TCPAddr)
+	return isTCP && areTCP && x.IP.Equal(y.IP)
+}
+
+type meteredConn struct {
+	net.Conn
+	link *routing.LinkLoad
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.link.Received(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.link.Sent(n)
+	return n, err
+}
 
 // listen binds the addresses, so that a clash is reported at start.
 func (s *servers) listen(d *Daemon) error {
@@ -41,6 +87,7 @@
 	peer.HandleFunc("POST "+evidencePath, d.takeReport)
 	peer.HandleFunc("POST "+gossipPath, d.takeGossip)
 	inbound := d.callers.record(d.inbound, func() bool { return !d.ready.Load() })
+	s.link = d.link
 	if err := s.add("caller", d.config.Caller, d.closing(d.outbound), true); err != nil {
 		return err
 	}
@@ -63,6 +110,9 @@
 	if err != nil {
 		return cannotListen(err, name, address)
 	}
+	if requests && s.link != nil {
+		listener = &meteredListener{Listener: listener, link: s.link}
+	}
 	s.all = append(s.all, &server{name: name, listener: listener, requests: requests, http: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}})
