--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,12 @@
 	return []rows.Change{{Row: rows.Row{Key: rows.Key{Table: table, Name: "x"}, Version: after + 1}}}, after + 1, nil
 }
 
+// noOperators is a platform whose operators write nothing.
+type noOperators struct{ Operators }
+
+func (noOperators) Table() string                { return "operators" }
+func (noOperators) Decode(rows.Row) (any, error) { return nil, nil }
+
 var _ = Describe("watches of the store", func() {
 	// Guards against calls that grow with the square of the daemons: the start
 	// of 81 daemons made 8,000 calls, since each row woke all of them.
@@ -47,6 +54,25 @@
 		Expect(changes.Load()).To(BeNumerically(">=", 2))
 	})
 
+	// Guards against daemons that stay with a reader that does not answer any
+	// more, and so miss the bound for a configuration.
+	It("begin at once when the reader of the failure domain is silent", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = silent.Close() })
+		store := &changing{}
+		d := New(Config{VM: "a", Store: store, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
+		relay := mesh.Relay{Sources: []string{silent.Addr().String()}}
+		d.relay.Store(&relay)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.followRows(ctx)
+		go d.run(ctx)
+		time.Sleep(relayWait / 2)
+		Expect(store.watches.Load()).To(BeZero())
+		Eventually(store.watches.Load, relayWait+relayMargin, 20*time.Millisecond).Should(BeNumerically(">=", 1))
+	})
+
 	It("keep a spacing between its bounds", func() {
 		Expect(watchSpacing(0)).To(Equal(minSpacing))
 		Expect(watchSpacing(11)).To(Equal(110 * time.Millisecond))
