Count the mean wait for a slot where a target's report is old

Cause: with 81 daemons each one hears of a target about once a second; all prefer the same fast targets until these are full, and a target that has not answered for a second looks idle. Ruled out: the daemons' processors (4% of a core at most), full links in those seconds.

--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 )
 
@@ -20,6 +21,12 @@
 	// distanceCost is the cost of another failure domain: a round trip on each
 	// of the two hops, and the price of traffic between domains.
 	distanceCost = 30 * time.Millisecond
+	// staleAfter is the age from which a report says nothing about a slot that
+	// is free now. Requests hold slots for 30 to 300 ms.
+	staleAfter = 500 * time.Millisecond
+	// maxBusy bounds the occupied part that the mean wait is computed from,
+	// since the wait has no bound when it comes near one.
+	maxBusy = 0.92
 	// byteCost is the cost of a kilobyte that goes to another failure domain.
 	byteCost = 3 * time.Millisecond
 	// maxByteCost bounds the cost of long bodies.
@@ -95,6 +102,7 @@
 	if over := busy + 1/t.slots() - 1; over > 0 {
 		cost += float64(pace) * over
 	}
+	cost += float64(pace) * staleness(t.reportAge(p.now)) * meanWait(busy, t.slots())
 	cost += t.failing() * float64(failureCost)
 	if p.vm == "" || t.Endpoint.VM != p.vm {
 		cost += float64(t.linkTime(p.now, p.bytes))
@@ -102,6 +110,21 @@
 	return time.Duration(cost) + p.distance(t)
 }
 
+// staleness is how far a report of the age says only how busy the target is on
+// the mean, and not whether it has a free slot now.
+func staleness(age time.Duration) float64 {
+	return min(1, float64(age)/float64(staleAfter))
+}
+
+// meanWait approximates the mean wait for one of the slots, in units of the
+// mean time that a request holds one (Sakasegawa, 1977). It spreads requests
+// before the targets that look best are full: in a large mesh, each daemon
+// hears of a target rarely, and all of them prefer the same ones.
+func meanWait(busy, slots float64) float64 {
+	busy = min(busy, maxBusy)
+	return math.Pow(busy, math.Sqrt(2*(slots+1))-1) / (slots * (1 - busy))
+}
+
 func (p *placer) distance(t *Target) time.Duration {
 	if t.Endpoint.Domain == p.domain {
 		return 0
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -27,6 +27,10 @@
 	// breaksToEject is how many requests in a row may break before the target
 	// is left out. One broken connection can be the end of an idle one.
 	breaksToEject = 2
+	// linkFreshness is the age at which a reported wait for a link counts no
+	// more. It is longer than loadFreshness, since no answers come over a link
+	// that is full.
+	linkFreshness = 4 * time.Second
 	// fullFreshness bounds the age of a report by which a target is taken to be
 	// full. A slot becomes free every few milliseconds.
 	fullFreshness = 100 * time.Millisecond
@@ -137,10 +141,8 @@
 // linkTime is how long the body of a request takes to come over the link of
 // the target's VM.
 func (t *Target) linkTime(now time.Time, bytes int64) time.Duration {
-	if t.reportAge(now) >= loadFreshness {
-		return t.Transfer(bytes)
-	}
-	return t.Transfer(bytes) + time.Duration(t.counters.linkWait.Load())
+	left := max(0, 1-float64(t.reportAge(now))/float64(linkFreshness))
+	return t.Transfer(bytes) + time.Duration(left*float64(t.counters.linkWait.Load()))
 }
 
 // Transfer is how long the link of the target's VM takes for the bytes when
