Let long bodies in by the room on the VM's link

Cause: the link of a VM was known to senders only from past answers, and none come over a full link. While targets of the document service shed half of their requests, uploads were sent again and filled the links for seconds. The daemon beside the target counts the bodies that it let in, and refuses one that would wait over 100 ms while its sender can ask others, or that cannot come before its objective.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -126,13 +126,10 @@
 	}
 	waiter := s.waiter()
 	if s.announced {
-		if err := s.served.gate.preview(n.config.Now(), waiter); err != nil {
+		if err := s.letBody(waiter); err != nil {
 			s.shed(err, waiter.Verdict == routing.ShedBusy)
 			return
 		}
-		// The link has carried the body by the time of the real decision, and
-		// would carry it once more to another target.
-		waiter.Patience = anyPatience
 	}
 	if refused := s.prepareBody(); refused != nil {
 		s.refuse(refused)
@@ -198,9 +195,41 @@
 	return nil
 }
 
+// busyLink is the wait for the VM's link from which a request that can ask
+// other targets should. The short requests beside its body wait as long.
+const busyLink = 100 * time.Millisecond
+
+// letBody decides whether a sender should send a long body, by the room at the
+// target and on the VM's link. It fails as the gate does.
+func (s *service) letBody(w *routing.Waiter) error {
+	now := s.n.config.Now()
+	if err := s.served.gate.preview(now, w); err != nil {
+		return err
+	}
+	if load := s.n.config.Link; load != nil && s.r.ContentLength > 0 {
+		wait := load.Wait(now)
+		switch {
+		case w.Patience >= 0 && wait > busyLink:
+			w.Verdict = routing.ShedBusy
+			return fault.New(fault.Overloaded, "the VM's link is busy for %d ms", wait.Milliseconds())
+		case !w.Objective.IsZero() && now.Add(wait+load.Transfer(s.r.ContentLength)).After(w.Objective):
+			w.Verdict = routing.ShedLate
+			return fault.New(fault.Overloaded, "the body cannot come in time over the VM's link, which is busy for %d ms", wait.Milliseconds())
+		}
+	}
+	// The link has carried the body by the time of the real decision, and would
+	// carry it once more to another target.
+	w.Patience = anyPatience
+	return nil
+}
+
 // prepareBody reads the body as far as it is needed before the request is
 // admitted.
 func (s *service) prepareBody() *refusal {
+	if load := s.n.config.Link; load != nil && s.announced && s.r.ContentLength > 0 {
+		load.Let(s.r.ContentLength)
+		defer load.Came(s.r.ContentLength)
+	}
 	if s.n.config.BufferBytes > 0 {
 		if err := s.source.fillTo(s.n.config.BufferBytes); err != nil {
 			return badBody(err)
--- a/internal/routing/linkload.go
+++ b/internal/routing/linkload.go
@@ -24,6 +24,8 @@
 	// rate is in bytes a second.
 	rate           float64
 	received, sent atomic.Int64
+	// coming is the length of the bodies that were let in and have not come.
+	coming atomic.Int64
 
 	mu sync.Mutex
 	// start is when the window began, with what had been carried by then.
@@ -54,18 +56,32 @@
 	l.squares += bodyWeight * (size*size - l.squares)
 }
 
-// Wait estimates how long the next bytes wait, by the mean wait of a queue
-// with one server and the measured sizes (Pollaczek and Khinchine).
+// Let notes that a body of the length may come, and Came that it has, or that
+// it will not.
+func (l *LinkLoad) Let(n int64) { l.coming.Add(n) }
+
+// Came ends what Let began.
+func (l *LinkLoad) Came(n int64) { l.coming.Add(-n) }
+
+// Transfer is how long the link takes for a body when nothing else uses it.
+func (l *LinkLoad) Transfer(n int64) time.Duration {
+	return time.Duration(float64(n) / l.rate * float64(time.Second))
+}
+
+// Wait estimates how long the next bytes wait: for the bodies that were let
+// in, or by the mean wait of a queue with one server and the measured sizes
+// (Pollaczek and Khinchine), whichever is more.
 func (l *LinkLoad) Wait(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.roll(now)
-	if l.bytes <= 0 || l.rate <= 0 {
-		return 0
+	coming := l.Transfer(l.coming.Load())
+	if l.bytes <= 0 {
+		return coming
 	}
 	use := min(l.use, maxLinkUse)
 	left := l.squares / (2 * l.bytes) / l.rate
-	return time.Duration(use / (1 - use) * left * float64(time.Second))
+	return max(coming, time.Duration(use/(1-use)*left*float64(time.Second)))
 }
 
 func (l *LinkLoad) roll(now time.Time) {
--- a/internal/routing/linkload_test.go
+++ b/internal/routing/linkload_test.go
@@ -43,6 +43,18 @@
 		Expect(wait(3 * slowLink)).To(BeNumerically("<", time.Second))
 	})
 
+	// Guards against senders that all start long bodies at once, because none
+	// of them has come yet.
+	It("counts the bodies that were let in and have not come", func() {
+		l := routing.NewLinkLoad(slowLink)
+		for range 5 {
+			l.Let(body)
+		}
+		Expect(l.Wait(start)).To(Equal(240 * time.Millisecond))
+		l.Came(body)
+		Expect(l.Wait(start)).To(Equal(192 * time.Millisecond))
+	})
+
 	It("is zero before the first body", func() {
 		l := routing.NewLinkLoad(slowLink)
 		l.Sent(slowLink)
