Await long answers while they come; ask only daemons that read the store

Calls now end when no byte comes, and after a failed source the table is listed, which brings only the newest version. - Two daemons whose rows differed took each other for the reader. A daemon that does not read the store now says so.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -67,12 +67,12 @@
 }
 
 // run keeps the copy up to date from the store until ctx ends. It lists the
-// table unless the copy is complete up to a version that the store can
-// continue from.
-func (f *follower) run(ctx context.Context) {
+// table first if that is asked for, or if the copy is not complete up to a
+// version that the store can continue from.
+func (f *follower) run(ctx context.Context, list bool) {
 	var version uint64
 	f.d.loop.call(func(time.Time) { version = f.copy.complete })
-	if version > 0 {
+	if version > 0 && !list {
 		f.watch(ctx, version)
 	}
 	for ctx.Err() == nil {
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +49,7 @@
 		var changes atomic.Int64
 		f := &follower{d: d, table: "t", copy: &d.tables.operators, reset: func(time.Time, []rows.Row) {}, change: func(time.Time, []rows.Change) { changes.Add(1) }}
 		go d.run(ctx)
-		go f.run(ctx)
+		go f.run(ctx, true)
 		time.Sleep(700 * time.Millisecond)
 		// One watch each 200 ms.
 		Expect(store.watches.Load()).To(BeNumerically("<=", 4))
@@ -73,6 +75,27 @@
 		Eventually(store.watches.Load, relayWait+relayMargin, 20*time.Millisecond).Should(BeNumerically(">=", 1))
 	})
 
+	// Guards against two daemons that each take the other one for a reader: on
+	// trouble-3 of bergfeder-clip-grown, no daemon of a failure domain put a
+	// configuration into force for 2.9 s.
+	It("begin when the other daemon does not read the store", func() {
+		var second *Daemon
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { second.takeGossip(w, r) }))
+		DeferCleanup(peer.Close)
+		address := peer.Listener.Addr().String()
+		second = New(Config{VM: "b", Store: &changing{}, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go second.run(ctx)
+		store := &changing{}
+		first := New(Config{VM: "a", Store: store, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
+		relay := mesh.Relay{Sources: []string{address}}
+		first.relay.Store(&relay)
+		go first.followRows(ctx)
+		go first.run(ctx)
+		Eventually(store.watches.Load, relayWait/2, 10*time.Millisecond).Should(BeNumerically(">=", 1))
+	})
+
 	It("keep a spacing between its bounds", func() {
 		Expect(watchSpacing(0)).To(Equal(minSpacing))
 		Expect(watchSpacing(11)).To(Equal(110 * time.Millisecond))
--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -17,6 +17,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/progress"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
@@ -90,7 +91,8 @@
 	Own       *mesh.TargetRecord `json:"own,omitempty"`
 	// WaitMS is how long the receiver may wait for news, in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
-	// StoreLost is true in the answer of a daemon that learns of no changes.
+	// StoreLost is true in the answer of a daemon that learns of no changes from
+	// the store.
 	StoreLost bool `json:"store_lost,omitempty"`
 }
 
@@ -245,7 +247,7 @@
 func (d *Daemon) exchange(ctx context.Context, address string) {
 	var message gossip
 	d.loop.call(func(time.Time) { message = d.digest() })
-	answer, err := d.sendGossip(ctx, d.peers, address, message)
+	answer, err := d.sendGossip(ctx, d.peers, address, message, nil)
 	if err != nil {
 		d.logger.Debug().Err(err).Str("event", "gossip-failed").Str("peer", address).Msg("a daemon does not answer")
 		return
@@ -253,12 +255,14 @@
 	d.loop.call(func(now time.Time) { d.takeRows(now, answer) })
 }
 
-func (d *Daemon) sendGossip(ctx context.Context, client *http.Client, address string, message gossip) (*gossip, error) {
-	body, err := json.Marshal(message)
+// sendGossip sends the message and returns the answer. The watch, if there is
+// one, learns of the answer's progress.
+func (d *Daemon) sendGossip(ctx context.Context, client *http.Client, address string, message gossip, watch *progress.Watch) (*gossip, error) {
+	encoded, err := json.Marshal(message)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "encode what this daemon knows")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+gossipPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+gossipPath, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "a daemon's address %q", address)
 	}
@@ -270,8 +274,12 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.Unavailable, "the daemon at %s answered status %d", address, response.StatusCode)
 	}
+	body := io.Reader(response.Body)
+	if watch != nil {
+		body = watch.Reader(body)
+	}
 	answer := &gossip{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxGossipBytes)).Decode(answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, maxGossipBytes)).Decode(answer); err != nil {
 		return nil, fault.Wrap(err, fault.Protocol, "the answer of the daemon at %s", address)
 	}
 	return answer, nil
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -130,6 +130,7 @@
 	if err == nil {
 		row.Version = next
 		o.saw(row)
+		o.d.loop.post(func(now time.Time) { o.d.node.Hear(now, wanted) })
 		o.d.logger.Info().Str("event", "target-published").Str("state", wanted.State).Str("instance", wanted.Instance).Uint64("version", next).Msg("the target's row is written")
 		return o.upToDate(wanted)
 	}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/progress"
 )
 
 const (
@@ -78,10 +79,15 @@
 func (d *Daemon) readStore(ctx context.Context, until time.Time) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
+	d.reading.Store(true)
+	defer d.reading.Store(false)
 	d.logger.Info().Str("event", "rows-from").Str("source", "store").Msg("the daemon reads the store")
 	var group sync.WaitGroup
-	group.Go(func() { d.operatorFollower().run(watching) })
-	group.Go(func() { d.meshFollower().run(watching) })
+	// After a failed source there may be several versions of a configuration to
+	// catch up with. A watch would bring them all, a list only the newest one.
+	list := time.Now().Before(until)
+	group.Go(func() { d.operatorFollower().run(watching, list) })
+	group.Go(func() { d.meshFollower().run(watching, list) })
 	group.Go(func() { d.askReader(watching) })
 	for ctx.Err() == nil {
 		sleep(ctx, roleInterval)
@@ -141,9 +147,9 @@
 	d.loop.call(func(time.Time) { message = d.cursors() })
 	message.WaitMS = relayWait.Milliseconds()
 	began := time.Now()
-	bounded, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
-	defer cancel()
-	answer, err := d.sendGossip(bounded, d.relays, source, message)
+	watched, watch, release := progress.New(ctx, relayWait+relayMargin, relayMargin)
+	defer release()
+	answer, err := d.sendGossip(watched, d.relays, source, message, watch)
 	if err != nil {
 		return false, err
 	}
@@ -193,5 +199,9 @@
 }
 
 // cutOff reports whether neither the store nor the next reader tells this
-// daemon of changes.
-func (d *Daemon) cutOff() bool { return d.storeLost.Load() && d.nextLost.Load() }
+// daemon of changes. A daemon that gets its rows from others is cut off, too:
+// two daemons that each take the other one for a reader would never learn
+// anything.
+func (d *Daemon) cutOff() bool {
+	return !d.reading.Load() || d.storeLost.Load() && d.nextLost.Load()
+}
