--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -28,7 +28,7 @@
 	// minSpacing and maxSpacing bound the time between two watches of a daemon
 	// that follows from it. News may wait that long at a daemon; the platform
 	// gives a configuration two seconds to be in force.
-	minSpacing = 50 * time.Millisecond
+	minSpacing = 200 * time.Millisecond
 	maxSpacing = time.Second
 )
 
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -56,10 +56,10 @@
 }
 
 // heartbeatWait is how long a daemon that has just started waits for its target
-// before it publishes that it has none. Targets send a heartbeat each 1.5 s, and
-// one that an earlier start knew is asked at once, so that most starts write
-// their row once.
-const heartbeatWait = 2 * time.Second
+// before it publishes that it has none. The first heartbeat comes up to 3.5 s
+// after the start of both, and a target that an earlier start knew is asked at
+// once, so that most starts write their row once.
+const heartbeatWait = 4 * time.Second
 
 // update sets what the row should hold from the target's state. It runs in
 // the loop.
