Notice a store that fell silent, and end the watches that wait for it

Cause: a store that is silent for a while forgets the watches that wait, and nothing tells the daemons. Their calls for changes wait up to 21 s. Meshes without readers had the same fault at each daemon. Ruled out: full links, readers that died. One that finds the store back ends all others, and calls are short while the store is lost.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -74,6 +74,7 @@
 	relay atomic.Pointer[mesh.Relay]
 	// nextLost is true while a reader learns nothing from the next reader.
 	nextLost atomic.Bool
+	regained regained
 	// reading is true while the daemon watches the store itself.
 	reading atomic.Bool
 	// listedOnce is listed for other goroutines than the loop.
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -15,6 +16,12 @@
 	// a calm daemon at one every 20 s for each table; a dead connection shows
 	// earlier, by the keep-alive probes of the adapter.
 	watchWait = 20 * time.Second
+	// operatorWait is how long one call waits for what operators write. It is
+	// short, since it shows whether the store answers at all: one that fell silent
+	// leaves calls without an answer, also when it is back.
+	operatorWait = 2 * time.Second
+	// lostWait is how long a call waits for changes while the store does not answer.
+	lostWait = 100 * time.Millisecond
 	// firstPause and lastPause bound the time between tries of a call that
 	// failed. A daemon is back within half a second of the store's return, and
 	// within the spacing of watches in a large mesh.
@@ -107,7 +114,13 @@
 func (f *follower) watch(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		changes, next, err := f.d.config.Store.Watch(ctx, f.table, version, watchWait)
+		call, release := f.d.untilRegained(ctx)
+		changes, next, err := f.d.config.Store.Watch(call, f.table, version, f.wait())
+		superseded := call.Err() != nil
+		release()
+		if err != nil && superseded {
+			continue
+		}
 		if fault.Is(err, fault.Stale) {
 			f.d.logger.Info().Str("event", "history-lost").Str("table", f.table).Uint64("version", version).Msg("the table is listed again")
 			return
@@ -129,6 +142,56 @@
 	}
 }
 
+// wait is how long the next call waits for changes.
+func (f *follower) wait() time.Duration {
+	switch {
+	case f.lost:
+		return lostWait
+	case f.table == f.d.config.Operators.Table():
+		return operatorWait
+	}
+	return watchWait
+}
+
+// regained ends the calls that wait for changes once the store answers again.
+type regained struct {
+	mu    sync.Mutex
+	ended chan struct{}
+}
+
+func (r *regained) channel() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended == nil {
+		r.ended = make(chan struct{})
+	}
+	return r.ended
+}
+
+func (r *regained) announce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended != nil {
+		close(r.ended)
+		r.ended = nil
+	}
+}
+
+// untilRegained returns a context that also ends when another watch finds that
+// the store answers again.
+func (d *Daemon) untilRegained(ctx context.Context) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancel(ctx)
+	ended := d.regained.channel()
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	return call, cancel
+}
+
 // sleep waits for the time, or until ctx ends.
 func sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
@@ -145,9 +208,10 @@
 	if err == nil {
 		if f.lost {
 			f.d.logger.Info().Str("event", "store-regained").Str("table", f.table).Msg("the store answers again")
+			f.lost = false
 			f.note(false)
+			f.d.regained.announce()
 		}
-		f.lost = false
 		f.pause.reset()
 		return true
 	}
@@ -164,13 +228,10 @@
 	return false
 }
 
-// note tells the node whether the store answers. The watch of the product's
-// own table decides, since moves are written there.
+// note tells the node whether the store answers.
 func (f *follower) note(lost bool) {
-	if f.table == mesh.Table {
-		f.d.storeLost.Store(lost)
-		f.d.loop.post(func(time.Time) { f.d.tables.wake() })
-	}
+	f.d.storeLost.Store(lost)
+	f.d.loop.post(func(time.Time) { f.d.tables.wake() })
 }
 
 func (d *Daemon) operatorFollower() *follower {
