Watch the mesh rarely while a daemon is young

Cause: at the start of a mesh each target's row wakes every daemon for seconds: 30 daemons made 60 lists and 325 watches of the store's stand-in while 30 first heartbeats came within 1.8 s (a trial spec, not kept). A daemon's watches of the mesh's table start a second apart in its first 4 s; those of operators' rows do not change.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -37,6 +37,9 @@
 	// gives a configuration two seconds to be in force.
 	minSpacing = 200 * time.Millisecond
 	maxSpacing = time.Second
+	// youngFor is how long a daemon's spacing is the longest after its start. The
+	// first heartbeats come within 3.5 s.
+	youngFor = 4 * time.Second
 )
 
 // watchSpacing is the least time between the starts of two watches of a table
@@ -137,11 +140,20 @@
 			f.copy.reach(next)
 		})
 		if len(changes) > 0 {
-			sleep(ctx, time.Until(began.Add(watchSpacing(int(f.d.daemons.Load())))))
+			sleep(ctx, time.Until(began.Add(f.spacing(time.Now()))))
 		}
 	}
 }
 
+// spacing is the least time between the starts of two watches. While the
+// whole mesh starts, rows of targets come one after the other for seconds.
+func (f *follower) spacing(now time.Time) time.Duration {
+	if f.table == mesh.Table && now.Sub(f.d.started) < youngFor {
+		return maxSpacing
+	}
+	return watchSpacing(int(f.d.daemons.Load()))
+}
+
 // wait is how long the next call waits for changes.
 func (f *follower) wait() time.Duration {
 	switch {
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -130,6 +130,18 @@
 		Eventually(store.watches.Load, probePause+time.Second, 20*time.Millisecond).Should(BeNumerically(">=", 1))
 	})
 
+	// Guards against a start of the whole mesh in which each target's row wakes
+	// every daemon: 30 daemons made 325 watches.
+	It("are rare while the daemon is young, but for what operators write", func() {
+		d := &Daemon{config: Config{Operators: noOperators{}}, started: time.Now()}
+		d.daemons.Store(11)
+		f := &follower{d: d, table: mesh.Table}
+		Expect(f.spacing(d.started.Add(time.Second))).To(Equal(maxSpacing))
+		Expect(f.spacing(d.started.Add(youngFor))).To(Equal(minSpacing))
+		f.table = "operators"
+		Expect(f.spacing(d.started.Add(time.Second))).To(Equal(minSpacing))
+	})
+
 	It("keep a spacing between its bounds", func() {
 		Expect(watchSpacing(0)).To(Equal(minSpacing))
 		Expect(watchSpacing(11)).To(Equal(minSpacing))
