Keep long uploads in their failure domain for longer

The cost of a kilobyte is bounded by 250 ms in place of 90 ms, and still by a quarter of the objective.

--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -30,7 +30,7 @@
 	// byteCost is the cost of a kilobyte that goes to another failure domain.
 	byteCost = 3 * time.Millisecond
 	// maxByteCost bounds the cost of long bodies.
-	maxByteCost = 90 * time.Millisecond
+	maxByteCost = 250 * time.Millisecond
 	// distancePart and bytePart bound both costs by the objective, so that a
 	// request does not miss it in order to stay near.
 	distancePart = 0.125
