--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -123,13 +123,10 @@
 	// queueing is true once the request queues at the next target, and does
 	// not only ask it for a free slot.
 	queueing := len(choice.Version.Targets) == 1 || choice.Target.Full(x.o.config.Now())
-	for sends, shed := 1, 0; ; sends++ {
+	for sends := 1; ; sends++ {
 		x.wait = x.patience(queueing)
 		a := x.send(choice)
-		if queueing && a.shed() {
-			shed++
-		}
-		if !x.mayRetry(a) || shed >= maxQueues || sends >= maxSends {
+		if !x.mayRetry(a) || queueing && a.shed() || sends >= maxSends {
 			x.answer(a)
 			return
 		}
@@ -148,13 +145,8 @@
 // shed reports whether the target's daemon answered that there is no room.
 func (a *attempt) shed() bool { return a.refused == nil && !a.arrived() && !a.targetLost() }
 
-const (
-	// maxSends bounds the daemons that one request is sent to.
-	maxSends = 6
-	// maxQueues is at how many targets a request asks for a place in the queue.
-	// The best one by what is known may be busier by then than others are.
-	maxQueues = 3
-)
+// maxSends bounds the daemons that one request is sent to.
+const maxSends = 6
 
 // nextAsk chooses the next target, and whether the request queues there.
 func (x *exchange) nextAsk(last routing.Choice, queueing bool) (next routing.Choice, queue, ok bool) {
