Keep the platform's answers when the SDK closes a request's body early

Cause: the SDK closes the body of a request once an answer has come. Its body then returns io.EOF from WriteTo as a failure. http.Transport reads once more after the stated length to find the end of the body; on a busy machine that is after the answer, so that the write fails and the connection is closed within the answer. Ruled out: the stand-in (it reads whole bodies first), time-outs (0.2 s), other specs (alone it fails, too).

--- a/internal/platform/aws.go
+++ b/internal/platform/aws.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -103,7 +104,7 @@
 func newHTTPClient(dialTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: plainBodies{next: &http.Transport{
 			DialContext:         dialer.DialContext,
 			TLSHandshakeTimeout: dialTimeout,
 			MaxIdleConns:        idleConnections,
@@ -111,11 +112,27 @@
 			IdleConnTimeout:     idleTimeout,
 			ForceAttemptHTTP2:   false,
 			DisableCompression:  true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// plainBodies hides all but Read and Close of a request's body. The SDK closes
+// the body once an answer has come. Its WriteTo then returns io.EOF as a
+// failure to http.Transport, which may not have noticed the end of the body
+// yet, and so closes the connection within the answer.
+type plainBodies struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (p plainBodies) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return p.next.RoundTrip(r)
+	}
+	plain := *r
+	plain.Body = struct{ io.ReadCloser }{r.Body}
+	return p.next.RoundTrip(&plain)
+}
+
 // newDynamoDB turns the SDK's retries off: a retry after a lost answer would
 // hide that the first attempt took effect.
 func newDynamoDB(cfg AWSConfig, client *http.Client, keys aws.CredentialsProvider) *dynamodb.Client {
