Ask a target for its health before a young daemon believes a heartbeat

Cause: a daemon acknowledged that its target leaves and was stopped before the store, which was down, could take the news. Ruled out: resuming the target by its row (no target-resumed line). Within 10 s of its start a daemon asks a target that it has not heard of for its health first; a leaving target says so there.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -226,8 +226,21 @@
 const budgetPart = 0.5
 
 // Beat takes a heartbeat of the target on the VM. Once it returns, the
-// target's state is in force on this daemon.
+// target's state is in force on this daemon, unless the daemon is so young that
+// the target is asked for its health first.
 func (d *Daemon) Beat(b Heartbeat) {
+	if path := d.doubtful(b); path != "" {
+		go func() {
+			if d.confirmed(b, path) {
+				d.takeBeat(b)
+			}
+		}()
+		return
+	}
+	d.takeBeat(b)
+}
+
+func (d *Daemon) takeBeat(b Heartbeat) {
 	d.loop.call(func(now time.Time) {
 		if d.target.beat(now, b) {
 			d.targetChanged()
--- a/internal/sidecar/resume.go
+++ b/internal/sidecar/resume.go
@@ -64,3 +64,36 @@
 	})
 	return true
 }
+
+// doubtFor is how long after its start a daemon asks a target that it has not
+// heard of for its health, before it believes a heartbeat. An earlier start may
+// have acknowledged that the target leaves; heartbeats come seconds late.
+const doubtFor = 10 * time.Second
+
+// doubtful returns the path of the health check that a heartbeat needs, or "".
+func (d *Daemon) doubtful(b Heartbeat) string {
+	if b.Draining || time.Since(d.started) >= doubtFor {
+		return ""
+	}
+	path := ""
+	d.loop.call(func(time.Time) {
+		if d.target.state != 0 && d.target.current.Instance == b.Instance {
+			return
+		}
+		if c := d.node.Configuration(); c != nil {
+			path = c.Services[b.Service].HealthPath
+		}
+	})
+	return path
+}
+
+// confirmed reports whether the target does not deny the heartbeat.
+func (d *Daemon) confirmed(b Heartbeat, path string) bool {
+	instance, healthy, err := d.config.Health.Check(d.config.TargetAddress, path)
+	if err != nil || healthy && instance == b.Instance {
+		return true
+	}
+	d.logger.Warn().Str("event", "heartbeat-denied").Str("instance", b.Instance).Str("answered", instance).Bool("healthy", healthy).
+		Uint64("sequence", b.Sequence).Msg("the target's health does not agree with its heartbeat")
+	return false
+}
