--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -75,6 +75,8 @@
 	// nextLost is true while a reader learns nothing from the next reader.
 	nextLost atomic.Bool
 	regained regained
+	// farewells counts the farewells of targets; it belongs to the loop.
+	farewells int
 	// reading is true while the daemon watches the store itself.
 	reading atomic.Bool
 	// listedOnce is listed for other goroutines than the loop.
@@ -229,19 +231,27 @@
 // target's state is in force on this daemon, unless the daemon is so young that
 // the target is asked for its health first.
 func (d *Daemon) Beat(b Heartbeat) {
-	if path := d.doubtful(b); path != "" {
+	if path, farewells := d.doubtful(b); path != "" {
 		go func() {
 			if d.confirmed(b, path) {
-				d.takeBeat(b)
+				d.takeBeat(b, farewells)
 			}
 		}()
 		return
 	}
-	d.takeBeat(b)
+	d.takeBeat(b, anyFarewells)
 }
 
-func (d *Daemon) takeBeat(b Heartbeat) {
+// anyFarewells takes a heartbeat whatever farewells have come.
+const anyFarewells = -1
+
+// takeBeat takes over a heartbeat, unless a farewell came since farewells were
+// counted.
+func (d *Daemon) takeBeat(b Heartbeat, farewells int) {
 	d.loop.call(func(now time.Time) {
+		if farewells != anyFarewells && farewells != d.farewells {
+			return
+		}
 		if d.target.beat(now, b) {
 			d.targetChanged()
 		}
@@ -251,6 +261,7 @@
 // Leave takes the farewell of a run of the target, as Beat does.
 func (d *Daemon) Leave(instance string) {
 	d.loop.call(func(time.Time) {
+		d.farewells++
 		if d.target.leave(instance) {
 			d.targetChanged()
 		}
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
@@ -47,6 +48,39 @@
 func (noOperators) Table() string                { return "operators" }
 func (noOperators) Decode(rows.Row) (any, error) { return nil, nil }
 
+// slowHealth is a target that says that it is healthy once it is released.
+type slowHealth struct{ release chan struct{} }
+
+func (s slowHealth) Check(string, string) (string, bool, error) {
+	<-s.release
+	return "i", true, nil
+}
+
+var _ = Describe("a heartbeat at a young daemon", func() {
+	// Guards against a leaving target that is taken for ready, since its health
+	// was asked for before its farewell.
+	It("does not count after a farewell", func() {
+		health := slowHealth{make(chan struct{})}
+		d := New(Config{VM: "a", Store: &changing{}, Operators: noOperators{}, Health: health, Logger: logging.Discard().Component("test")})
+		d.node.SetConfiguration(&mesh.Configuration{Version: 1, Services: map[string]mesh.Service{"order": {Name: "order", HealthPath: "/health"}}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		state := func() (state member.State) {
+			d.loop.call(func(time.Time) { state = d.target.state })
+			return state
+		}
+		beat := Heartbeat{Instance: "i", Born: 1, Sequence: 1, Service: "order", Version: "v1", Slots: 1}
+		d.Beat(beat)
+		d.Leave("i")
+		close(health.release)
+		Consistently(state, 200*time.Millisecond, 10*time.Millisecond).Should(Equal(member.State(0)))
+		beat.Sequence++
+		d.Beat(beat)
+		Eventually(state, patience, 10*time.Millisecond).Should(Equal(member.Ready))
+	})
+})
+
 var _ = Describe("watches of the store", func() {
 	// Guards against calls that grow with the square of the daemons: the start
 	// of 81 daemons made 8,000 calls, since each row woke all of them.
--- a/internal/sidecar/resume.go
+++ b/internal/sidecar/resume.go
@@ -70,13 +70,14 @@
 // have acknowledged that the target leaves; heartbeats come seconds late.
 const doubtFor = 10 * time.Second
 
-// doubtful returns the path of the health check that a heartbeat needs, or "".
-func (d *Daemon) doubtful(b Heartbeat) string {
+// doubtful returns the path of the health check that a heartbeat needs, or "",
+// and how many farewells have come.
+func (d *Daemon) doubtful(b Heartbeat) (path string, farewells int) {
 	if b.Draining || time.Since(d.started) >= doubtFor {
-		return ""
+		return "", 0
 	}
-	path := ""
 	d.loop.call(func(time.Time) {
+		farewells = d.farewells
 		if d.target.state != 0 && d.target.current.Instance == b.Instance {
 			return
 		}
@@ -84,7 +85,7 @@
 			path = c.Services[b.Service].HealthPath
 		}
 	})
-	return path
+	return path, farewells
 }
 
 // confirmed reports whether the target does not deny the heartbeat.
