Draw the targets that a request compares, half of them from its own failure domain

Cause: a request compared 16 targets that follow each other in the order of VM names, which begins with the failure domain. Such a run lies in one domain, so with five domains about four of five requests left their own. Besides, each request walked all targets of a version twice, for the mean pace and for the ejected ones, 243 on the large site.

Change: a version with more than 16 targets gives a request 8 drawn from the caller's domain and 8 from all (routing/sample.go). A retry leaves out the targets that were tried, without a copy of the list.

Ruled out: the cost of distance. It applies within the compared targets and was zero for all of them when the run lay in one other domain.

--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -161,7 +161,7 @@
 	if queueing {
 		return last, true, false
 	}
-	best := x.o.chooser.Cheapest(now, last.Version.Targets, x.placement())
+	best := x.o.chooser.Cheapest(now, last.Version, nil, x.placement())
 	return routing.Choice{Service: last.Service, Version: last.Version, Target: best}, true, best != nil
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/move"
@@ -75,7 +74,7 @@
 	if version == nil {
 		return Choice{Service: service}, false
 	}
-	target := c.chooseTarget(now, version.Targets)
+	target := c.chooseTarget(now, version, nil)
 	return Choice{Service: service, Version: version, Target: target}, target != nil
 }
 
@@ -83,32 +82,25 @@
 // the version has none left, the retry goes to versions that are not new, so
 // that retries do not add to the share of a new version.
 func (c *Chooser) Again(now time.Time, r *Route, last *Version, tried []*Target) (Choice, bool) {
-	return c.again(r, last, tried, func(left []*Target) *Target { return c.chooseTarget(now, left) })
+	return c.again(r, last, tried, func(v *Version) *Target { return c.chooseTarget(now, v, tried) })
 }
 
-func (c *Chooser) again(r *Route, last *Version, tried []*Target, choose func([]*Target) *Target) (Choice, bool) {
-	if left := without(last.Targets, tried); len(left) > 0 {
-		return Choice{Service: last.service, Version: last, Target: choose(left)}, true
+func (c *Chooser) again(r *Route, last *Version, tried []*Target, choose func(*Version) *Target) (Choice, bool) {
+	if untried(last, tried) {
+		return Choice{Service: last.service, Version: last, Target: choose(last)}, true
 	}
 	if r.Version != "" {
 		return Choice{}, false
 	}
 	for _, v := range last.service.Versions {
-		left := without(v.Targets, tried)
-		if v.New || (v.Share <= 0 && !v.Spare) || len(left) == 0 {
+		if v.New || (v.Share <= 0 && !v.Spare) || !untried(v, tried) {
 			continue
 		}
-		return Choice{Service: last.service, Version: v, Target: choose(left)}, true
+		return Choice{Service: last.service, Version: v, Target: choose(v)}, true
 	}
 	return Choice{}, false
 }
 
-func without(targets, tried []*Target) []*Target {
-	return slices.DeleteFunc(slices.Clone(targets), func(t *Target) bool {
-		return slices.ContainsFunc(tried, func(other *Target) bool { return other.Key() == t.Key() })
-	})
-}
-
 // chooseVersion draws a version by shares. The share of a version without
 // targets falls to the other versions: to those that are not new first, then
 // to spare ones, and to new ones last. It does not fall to a version that is
@@ -177,8 +169,8 @@
 }
 
 // chooseTarget compares two random targets and returns the less busy one.
-func (c *Chooser) chooseTarget(now time.Time, targets []*Target) *Target {
-	targets = withoutEjected(now, targets)
+func (c *Chooser) chooseTarget(now time.Time, v *Version, tried []*Target) *Target {
+	targets := withoutEjected(now, drawInto(make([]*Target, 0, placementCandidates), c.random, v.Targets, placementCandidates, tried))
 	switch len(targets) {
 	case 0:
 		return nil
@@ -193,19 +185,6 @@
 	return c.better(now, targets[i], targets[j])
 }
 
-func withoutEjected(now time.Time, targets []*Target) []*Target {
-	ejected := 0
-	for _, t := range targets {
-		if t.Ejected(now) {
-			ejected++
-		}
-	}
-	if ejected == 0 || float64(ejected) > maxEjectedPart*float64(len(targets)) {
-		return targets
-	}
-	return slices.DeleteFunc(slices.Clone(targets), func(t *Target) bool { return t.Ejected(now) })
-}
-
 // better returns the less busy of two targets. A cold target is passed over
 // with a probability that falls while it warms up.
 func (c *Chooser) better(now time.Time, a, b *Target) *Target {
--- a/internal/routing/linkload_test.go
+++ b/internal/routing/linkload_test.go
@@ -79,7 +79,7 @@
 		fast, slow := route.Service.Versions[0].Targets[0], route.Service.Versions[0].Targets[1]
 		place := func(vm string, bytes int64) string {
 			choose := routing.NewChooser("a", vm, rand.New(rand.NewPCG(1, 2)))
-			target := choose.Cheapest(start, []*routing.Target{fast, slow}, routing.Placement{Bytes: bytes, Objective: time.Second})
+			target := choose.Cheapest(start, route.Service.Versions[0], nil, routing.Placement{Bytes: bytes, Objective: time.Second})
 			return target.Endpoint.VM
 		}
 		for _, t := range []*routing.Target{fast, slow} {
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	// placementCandidates bounds the targets that are compared for a request.
-	placementCandidates = 16
 	// unknownPace stands in while no target of a version has reported its pace.
 	unknownPace = 100 * time.Millisecond
 	// crowding is the part of its pace by which a target slows down from idle
@@ -50,7 +48,8 @@
 	domain string
 	vm     string
 	now    time.Time
-	// pace stands in for targets that have not reported theirs.
+	// pace stands in for targets that have not reported theirs. It is the mean of
+	// the compared ones.
 	pace time.Duration
 	// away is the cost of another failure domain.
 	away time.Duration
@@ -140,27 +139,23 @@
 	if version == nil {
 		return Choice{Service: service}, false
 	}
-	target := c.Cheapest(now, version.Targets, p)
+	target := c.Cheapest(now, version, nil, p)
 	return Choice{Service: service, Version: version, Target: target}, target != nil
 }
 
 // PlaceAgain chooses as Again does, by cost.
 func (c *Chooser) PlaceAgain(now time.Time, r *Route, last *Version, tried []*Target, p Placement) (Choice, bool) {
-	return c.again(r, last, tried, func(left []*Target) *Target { return c.Cheapest(now, left, p) })
+	return c.again(r, last, tried, func(v *Version) *Target { return c.Cheapest(now, v, tried, p) })
 }
 
-// Cheapest returns the target with the least expected cost, or nil.
-func (c *Chooser) Cheapest(now time.Time, targets []*Target, p Placement) *Target {
-	targets = withoutEjected(now, targets)
-	if len(targets) == 0 {
-		return nil
-	}
-	placer := c.newPlacer(now, targets, p)
-	start, n := c.random.IntN(len(targets)), min(len(targets), placementCandidates)
+// Cheapest returns the target with the least expected cost of a sample of those
+// that were not tried, or nil.
+func (c *Chooser) Cheapest(now time.Time, v *Version, tried []*Target, p Placement) *Target {
+	drawn := withoutEjected(now, sample(c.random, v, c.domain, tried))
+	placer := c.newPlacer(now, drawn, p)
 	var best *Target
 	var least time.Duration
-	for i := range n {
-		t := targets[(start+i)%len(targets)]
+	for _, t := range drawn {
 		if cost := placer.cost(t); best == nil || cost < least {
 			best, least = t, cost
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -60,6 +60,8 @@
 	Spare bool
 	// Targets holds the ready targets, limited to the focus for a new version.
 	Targets []*Target
+	// domains divides Targets by failure domain.
+	domains map[string][]*Target
 	service *Service
 }
 
@@ -135,6 +137,7 @@
 		if v.New {
 			v.Targets = focused(v.Targets, service.Ticket, focus)
 		}
+		v.domains = byDomain(v.Targets)
 		service.Versions = append(service.Versions, v)
 	}
 	return service
