Let daemons of a first start read the store once, after their targets' rows

Cause: at a first start each daemon lists both tables at once and then watches the rows of all others come for four seconds, proposes the baseline of its service, and finds it refused.

Change: the settings say when the whole system starts for the first time. Then a daemon writes its target's row with the first heartbeat, and lists both tables after 3.7 to 4.0 s, when all rows are written and the readers are known. A row that an earlier start left all the same is found by the write's condition. The baseline of a service is proposed by one daemon after the other, a second apart, in the order of hashed VM names. A daemon that has listed the operators' table waits for the list of the mesh before it watches.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,6 +36,31 @@
 		Expect(service.Shares).To(Equal(map[string]uint32{"v1": model.TotalShare}))
 	})
 
+	// Guards against a proposal of every daemon, of which the store refuses all
+	// but one: 81 daemons that started together made about 80 calls in vain.
+	DescribeTable("proposes a baseline by few daemons at a time", func(daemons int) {
+		var nodes []*mesh.Node
+		for i := range daemons {
+			n := mesh.NewNode(mesh.Self{VM: fmt.Sprintf("vm%d", i)})
+			n.SetConfiguration(configuration(1))
+			for j := range daemons {
+				n.Hear(start, &mesh.TargetRecord{VM: fmt.Sprintf("vm%d", j), Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1"})
+			}
+			nodes = append(nodes, n)
+		}
+		proposals := func(now time.Time) (count int) {
+			for _, n := range nodes {
+				commits, _ := n.Tick(now, 0, false, nil, false)
+				count += len(commits)
+			}
+			return count
+		}
+		Expect(proposals(start)).To(Equal(1))
+		Expect(proposals(start.Add(500 * time.Millisecond))).To(BeZero())
+		Expect(proposals(start.Add(time.Second))).To(Equal(1), "the first one's proposal is not known to have come")
+		Expect(proposals(start.Add(3*time.Second))).To(Equal(daemons-2), "all others, since the first two do not answer")
+	}, Entry(nil, 30), Entry(nil, 300))
+
 	// Guards against a row of another writer that stops a daemon.
 	It("leaves out rows that cannot be decoded and keeps the others", func() {
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -45,7 +45,9 @@
 	resume map[string]time.Time
 	// proposed holds when a baseline was proposed last, by service.
 	proposed map[string]time.Time
-	changed  bool
+	// missing holds since when a baseline is known to be missing, by service.
+	missing map[string]time.Time
+	changed bool
 	// storeLost is true while the store does not answer this daemon.
 	storeLost bool
 }
@@ -60,7 +62,7 @@
 	return &Node{
 		self: self, orders: map[string]Order{}, targets: map[string]knownTarget{}, baselines: map[string]string{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, struck: map[uint64]uint32{},
-		brakes: map[uint64]string{}, busy: map[string]bool{}, resume: map[string]time.Time{}, proposed: map[string]time.Time{},
+		brakes: map[uint64]string{}, busy: map[string]bool{}, resume: map[string]time.Time{}, proposed: map[string]time.Time{}, missing: map[string]time.Time{},
 	}
 }
 
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -6,7 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/move"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
@@ -14,8 +17,14 @@
 // TickInterval is how often Tick should be called.
 const TickInterval = 100 * time.Millisecond
 
-// baselinePause is how often a baseline is proposed again.
-const baselinePause = time.Second
+const (
+	// baselinePause is how often a baseline is proposed again. It also separates
+	// the daemons that propose one for the same service.
+	baselinePause = time.Second
+	// maxProposers bounds the daemons that take turns; all the others come
+	// after them.
+	maxProposers = 3
+)
 
 // maxStrikes bounds the crashed requests of one write.
 const maxStrikes = 64
@@ -210,7 +219,15 @@
 	}
 	_, known := n.baselines[own.Service]
 	ordered := n.orders[own.Service]
-	if known || ordered.Version == own.Version || now.Sub(n.proposed[own.Service]) < baselinePause {
+	if known || ordered.Version == own.Version {
+		delete(n.missing, own.Service)
+		return nil
+	}
+	if n.missing[own.Service].IsZero() {
+		n.missing[own.Service] = now
+	}
+	turn := n.missing[own.Service].Add(time.Duration(n.turn(own)) * baselinePause)
+	if now.Before(turn) || now.Sub(n.proposed[own.Service]) < baselinePause {
 		return nil
 	}
 	n.proposed[own.Service] = now
@@ -225,6 +242,21 @@
 	})
 }
 
+// turn is how many of the service's known targets propose a baseline before
+// this one, at most maxProposers. The store takes only the first proposal, so
+// that others made at the same time are calls in vain.
+func (n *Node) turn(own *TargetRecord) int {
+	before, mine, ordered := 0, xxhash.Sum64String(own.VM), n.orders[own.Service].Version
+	for _, known := range n.targets {
+		r := known.record
+		proposes := r.Service == own.Service && r.Version != ordered && states[r.State] == member.Ready
+		if proposes && xxhash.Sum64String(r.VM) < mine {
+			before++
+		}
+	}
+	return min(before, maxProposers)
+}
+
 // strikeCommits writes the crashes of this VM's target. Counts of two daemons
 // that write at once may fall short by one, which only delays a quarantine.
 func (n *Node) strikeCommits(now time.Time) []Commit {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -39,6 +39,9 @@
 	// LinkRate is what the VM's link carries, in bytes a second; zero means
 	// that it does not matter.
 	LinkRate uint64
+	// FirstStart is true when all daemons start together for the first time.
+	// They read the store once their targets' rows are written.
+	FirstStart bool
 	// Grace is the time from the request to stop until the platform ends the
 	// process.
 	Grace time.Duration
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
@@ -106,10 +107,18 @@
 // awaitRole gives a daemon that has just listed the tables, and need not read
 // the store by what they say, the time to leave it to others without a watch.
 func (f *follower) awaitRole(ctx context.Context) {
+	// The list of the other table is on its way, and only that of the mesh tells
+	// the role.
+	for range roleLooks {
+		if f.d.listedOnce.Load() {
+			break
+		}
+		sleep(ctx, rolePause)
+	}
 	// The rows are in force once the loop takes another task.
 	f.d.loop.call(func(time.Time) {})
 	if relay := f.d.relay.Load(); relay != nil && !relay.Reader {
-		sleep(ctx, 2*roleInterval)
+		sleep(ctx, 3*roleInterval)
 	}
 }
 
@@ -292,7 +301,12 @@
 	}
 	switch v := decoded.(type) {
 	case *mesh.Configuration:
+		first := d.node.Configuration() == nil
 		if d.node.SetConfiguration(v) {
+			if first && d.target.state == member.Ready {
+				// The limit of its connections is known only now.
+				d.serveTarget()
+			}
 			d.logger.Info().Str("event", "config-applied").Uint64("config", v.Version).Uint64("version", row.Version).Int("routes", len(v.Routes)).Int("bytes", len(row.Value)).Msg("a configuration is in force")
 		}
 	case *mesh.Order:
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// wrote takes note of a row that this start of the daemon wrote.
+func (o *ownRow) wrote(record *mesh.TargetRecord, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if version > o.version {
+		o.version, o.stored = version, record
+	}
+}
+
 // heartbeatWait is how long a daemon that has just started waits for its target
 // before it publishes that it has none. The first heartbeat comes up to 3.5 s
 // after the start of both, and a target that an earlier start knew is asked at
@@ -65,11 +74,13 @@
 // the loop.
 func (o *ownRow) update() {
 	d := o.d
-	if !d.listed || d.target.state == 0 && time.Since(d.started) < heartbeatWait {
+	// At a first start there is no earlier row to learn of.
+	known := d.listed || d.config.FirstStart && d.target.state != 0
+	if !known || d.target.state == 0 && time.Since(d.started) < heartbeatWait {
 		return
 	}
 	o.mu.Lock()
-	o.listed = true
+	o.listed = d.listed
 	t := d.target
 	record := &mesh.TargetRecord{
 		VM: d.config.VM, Incarnation: o.base + 1 + t.incarnation, State: "gone", Domain: d.config.Domain,
@@ -128,8 +139,7 @@
 	})
 	o.d.noteWrite(err)
 	if err == nil {
-		row.Version = next
-		o.saw(row)
+		o.wrote(wanted, next)
 		o.d.loop.post(func(now time.Time) { o.d.node.Hear(now, wanted) })
 		o.d.logger.Info().Str("event", "target-published").Str("state", wanted.State).Str("instance", wanted.Instance).Uint64("version", next).Msg("the target's row is written")
 		return o.upToDate(wanted)
@@ -152,6 +162,9 @@
 	for _, row := range found {
 		o.saw(row)
 	}
+	// The row may be of an earlier start that this one did not expect. The
+	// next write has to follow it.
+	o.d.loop.post(func(time.Time) { o.update() })
 }
 
 func (o *ownRow) upToDate(written *mesh.TargetRecord) bool {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,11 +30,29 @@
 	// roleInterval is how often a daemon that reads the store looks whether it
 	// still should.
 	roleInterval = 250 * time.Millisecond
+	// rolePause and roleLooks bound how long a daemon that has listed the
+	// operators' table waits for the list of the mesh. A list takes 4 ms, or 240 ms
+	// while the store is slow.
+	rolePause = 20 * time.Millisecond
+	roleLooks = 15
+	// firstRead is when daemons that all start for the first time read the store:
+	// after the first heartbeats, which come within 3.5 s, and seconds before
+	// callers. By then the rows of all targets are written, so that one list
+	// brings them and few daemons need a watch. firstReadSpread keeps the lists
+	// below the store's rate, which is 16,000 reads/s for 295 daemons.
+	firstRead       = 3700 * time.Millisecond
+	firstReadSpread = 300 * time.Millisecond
+	// firstLeave is when they leave the store to the readers, which have listed
+	// it by then.
+	firstLeave = firstRead + firstReadSpread + 100*time.Millisecond
 )
 
 // followRows keeps the tables up to date, from the store or from the readers
 // of the failure domain.
 func (d *Daemon) followRows(ctx context.Context) {
+	if d.config.FirstStart {
+		sleep(ctx, firstRead+rand.N(firstReadSpread))
+	}
 	var failed failedSources
 	directUntil := time.Now()
 	for ctx.Err() == nil {
@@ -95,7 +114,8 @@
 	for ctx.Err() == nil {
 		sleep(ctx, roleInterval)
 		relay := d.relay.Load()
-		if relay != nil && !relay.Reader && d.listedOnce.Load() && time.Now().After(until) {
+		early := d.config.FirstStart && time.Since(d.started) < firstLeave
+		if relay != nil && !relay.Reader && d.listedOnce.Load() && !early && time.Now().After(until) {
 			break
 		}
 	}
