Count the calls of the store by cause

Each daemon counts its calls by cause and result in its metrics, and logs them at most every five seconds.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -48,6 +48,7 @@
 	started   time.Time
 	logger    *log.Logger
 	registry  *prometheus.Registry
+	calls     *calls
 	events    *timeline.Recorder
 	collector *move.Collector
 	outbound  *proxy.Outbound
@@ -142,6 +143,7 @@
 		VM: config.VM, Run: rand.Uint64(), Domain: config.Domain, Inbound: config.Inbound, Peer: config.Peer,
 	})
 	d.own = newOwnRow(d)
+	d.calls = newCalls(d.registry)
 	metrics := proxy.NewMetrics(d.registry)
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: config.Domain, VM: config.VM, Link: d.link, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -86,11 +86,16 @@
 	if version > 0 && !list {
 		f.watch(ctx, version)
 	}
+	cause := causeStart
+	if version > 0 {
+		cause = causeCatchUp
+	}
 	for ctx.Err() == nil {
-		snapshot, err := f.d.config.Store.List(ctx, f.table)
+		snapshot, err := f.d.list(ctx, cause, f.table)
 		if !f.noted(ctx, err) {
 			continue
 		}
+		cause = causeCatchUp
 		f.d.loop.post(func(now time.Time) {
 			f.reset(now, snapshot.Rows)
 			f.copy.reach(snapshot.Version)
@@ -127,7 +132,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		call, release := f.d.untilRegained(ctx)
-		changes, next, err := f.d.config.Store.Watch(call, f.table, version, f.wait())
+		changes, next, err := f.d.watch(call, f.table, version, f.wait())
 		superseded := call.Err() != nil
 		release()
 		if err != nil && superseded {
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -86,7 +86,7 @@
 	// of 81 daemons made 8,000 calls, since each row woke all of them.
 	It("are spaced by the number of daemons while a table keeps changing", func() {
 		store := &changing{}
-		d := &Daemon{config: Config{Store: store, Operators: noOperators{}}, loop: newLoop(), tables: newTables(), logger: logging.Discard().Component("test"), node: mesh.NewNode(mesh.Self{VM: "a"})}
+		d := New(Config{VM: "a", Store: store, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
 		d.daemons.Store(25)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -49,6 +49,7 @@
 	go d.followRows(ctx)
 	go d.own.run(ctx)
 	go d.gossip(ctx)
+	go d.logCalls(ctx)
 }
 
 func (d *Daemon) run(ctx context.Context) {
@@ -114,7 +115,7 @@
 	if c.Status != nil {
 		tx.Writes = append(tx.Writes, d.config.Operators.Status(*c.Status))
 	}
-	version, err := d.config.Store.Commit(ctx, tx)
+	version, err := d.write(ctx, causeMove, tx)
 	d.noteWrite(err)
 	entry := d.logger.Info()
 	if err != nil {
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -134,7 +134,7 @@
 		return true
 	}
 	row := wanted.Row()
-	next, err := o.d.config.Store.Commit(ctx, rows.Transaction{
+	next, err := o.d.write(ctx, causeOwnRow, rows.Transaction{
 		Conditions: []rows.Condition{{Key: row.Key, Version: version}}, Writes: []rows.Row{row},
 	})
 	o.d.noteWrite(err)
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -167,7 +167,7 @@
 		// Most likely the store is down for all. One call now and then tells
 		// whether it only turns the reader away.
 		if time.Since(probed) >= probePause {
-			if _, err := d.config.Store.List(ctx, d.config.Operators.Table()); err == nil {
+			if _, err := d.list(ctx, causeProbe, d.config.Operators.Table()); err == nil {
 				return fault.New(fault.Stale, "the store turns the daemon at %s away", source)
 			}
 			probed = time.Now()
