--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -240,6 +240,17 @@
 	return max(1, count)
 }
 
+// Shares returns the part of the daemons that are beside targets of each service.
+func (n *Node) Shares() map[string]float64 {
+	shares, part := map[string]float64{}, 1/float64(n.Daemons())
+	for _, t := range n.targets {
+		if r := t.record; r.Service != "" && states[r.State] != member.Gone {
+			shares[r.Service] += part
+		}
+	}
+	return shares
+}
+
 // Move returns the open move of the service, if there is one, and the version
 // that gains traffic by it.
 func (n *Node) Move(service string) (order uint64, to string) {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -71,6 +71,9 @@
 	BufferBytes int
 	// Link, if set, tells other daemons how long bytes wait for the VM's link.
 	Link *routing.LinkLoad
+	// Callers, if set, finds the calls of servers, which may wait until their
+	// deadline.
+	Callers *routing.Callers
 	// OnTargetLost, if set, is called when the target refuses connections or
 	// another run of a target has its address.
 	OnTargetLost func(instance string, err error)
--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -253,6 +253,9 @@
 	}
 	w.Kind = s.route
 	w.Objective = s.n.config.Now().Add(time.Duration(objective) * time.Millisecond)
+	if s.called() {
+		w.Objective = s.deadline
+	}
 	if priority, ok := number(s.r.Header, PriorityHeader, 10, 32); ok {
 		w.Priority = uint32(priority)
 	}
@@ -263,6 +266,13 @@
 	return w
 }
 
+// called reports whether the request is a call of a server, which fails the
+// request that it belongs to unless it is answered before its deadline.
+func (s *service) called() bool {
+	callers := s.n.config.Callers
+	return callers != nil && callers.Saw(s.route, s.r.Header.Get(s.n.config.Protocol.CallerService))
+}
+
 // failureWeight is the weight of the newest request in the part that failed.
 const failureWeight = 0.05
 
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -53,11 +53,13 @@
 	collector *move.Collector
 	outbound  *proxy.Outbound
 	inbound   *proxy.Inbound
-	node      *mesh.Node
-	target    *localTarget
-	own       *ownRow
-	loop      loop
-	servers   servers
+	// serverCalls tells calls of servers from requests of clients.
+	serverCalls *routing.Callers
+	node        *mesh.Node
+	target      *localTarget
+	own         *ownRow
+	loop        loop
+	servers     servers
 	// requests limits the log lines about single requests.
 	requests logLimit
 	// holding holds the last logged reason of each held move.
@@ -144,6 +146,7 @@
 	})
 	d.own = newOwnRow(d)
 	d.calls = newCalls(d.registry)
+	d.serverCalls = routing.NewCallers()
 	metrics := proxy.NewMetrics(d.registry)
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: config.Domain, VM: config.VM, Link: d.link, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
@@ -152,7 +155,7 @@
 	})
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Observer: d, Metrics: metrics, Protocol: config.Protocol, BufferBytes: bufferBytes, OnTargetLost: d.targetLost,
-		Link: d.link,
+		Link: d.link, Callers: d.serverCalls,
 	})
 	return d
 }
@@ -205,6 +208,7 @@
 	crashes := d.node.Crashes()
 	d.outbound.SetStrikes(crashes)
 	d.inbound.SetStrikes(crashes)
+	d.serverCalls.SetShares(d.node.Shares())
 	d.limitRetries()
 	order, to := d.node.Move(d.config.Service)
 	d.inbound.SetMove(proxy.TargetMove{Ticket: order, New: to == d.target.current.Version})
