--- a/internal/proxy/placing.go
+++ b/internal/proxy/placing.go
@@ -23,10 +23,6 @@
 	// maxAsked is how many targets are asked for a free slot before the
 	// request queues at the best of them.
 	maxAsked = 3
-	// callStretch is how much longer than its objective a call of a server may
-	// take, in parts of the objective. A refused call wastes the work of the
-	// request that it belongs to, and one that waits holds that request's slot.
-	callStretch = 1.0
 	// bytesWeight is the weight of the newest answer in a route's mean size.
 	bytesWeight = 0.05
 )
@@ -258,10 +254,7 @@
 	w.Kind = s.route
 	w.Objective = s.n.config.Now().Add(time.Duration(objective) * time.Millisecond)
 	if s.called() {
-		w.Objective = w.Objective.Add(time.Duration(callStretch * float64(objective) * float64(time.Millisecond)))
-		if w.Objective.After(s.deadline) {
-			w.Objective = s.deadline
-		}
+		w.Latest = s.deadline
 	}
 	if priority, ok := number(s.r.Header, PriorityHeader, 10, 32); ok {
 		w.Priority = uint32(priority)
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -57,6 +57,9 @@
 	Deadline time.Time
 	// Objective is when the caller wants its answer; zero means that it did not say.
 	Objective time.Time
+	// Latest is until when the answer is worth waiting for although the
+	// objective has passed; zero means until the objective.
+	Latest time.Time
 	// Patience is the longest wait that the sender accepts here, because it
 	// can ask other daemons; negative means any.
 	Patience time.Duration
@@ -156,12 +159,21 @@
 		return ShedDeadline
 	case w.Patience >= 0 && wait > w.Patience && !w.Objective.IsZero():
 		return ShedBusy
-	case !w.Objective.IsZero() && end.After(w.Objective):
+	case !w.Objective.IsZero() && end.After(w.latest()):
 		return ShedLate
 	}
 	return Waiting
 }
 
+// latest is until when the answer is worth waiting for. It has no meaning for
+// a request without an objective.
+func (w *Waiter) latest() time.Time {
+	if w.Latest.After(w.Objective) {
+		return w.Latest
+	}
+	return w.Objective
+}
+
 func (a *Admission) enqueue(w *Waiter) {
 	queue := a.queues[rank(w.Class)]
 	at := len(queue)
@@ -272,7 +284,7 @@
 			switch {
 			case !w.Deadline.IsZero() && !now.Before(w.Deadline):
 				w.Verdict = ShedDeadline
-			case !w.Objective.IsZero() && waiting > 1 && now.Add(a.expectedTime(w)).After(w.Objective):
+			case !w.Objective.IsZero() && waiting > 1 && now.Add(a.expectedTime(w)).After(w.latest()):
 				w.Verdict = ShedLate
 			default:
 				return false
