Test that calls of servers are kept until their deadline under overload

The load: a target with six slots gets calls and uploads for 98% of them. Calls that are refused once they would miss their objective fail in more than one case of twenty; kept until their deadline, nearly all are answered, and uploads stay served.

--- a/internal/routing/overload_test.go
+++ b/internal/routing/overload_test.go
@@ -18,8 +18,13 @@
 	work      time.Duration
 	objective time.Duration
 	priority  uint32
+	// latest is until when an answer is of use; zero means until the objective.
+	latest time.Duration
 }
 
+// keptUntil is how long after its arrival a request of the kind is of use.
+func (k kind) keptUntil() time.Duration { return max(k.objective, k.latest) }
+
 // outcome counts what callers of a kind got.
 type outcome struct{ asked, inTime, refused int }
 
@@ -69,11 +74,12 @@
 			if random.Float64() >= k.perSecond*step.Seconds() {
 				continue
 			}
-			w := &routing.Waiter{Class: model.Normal, Deadline: now.Add(3 * k.objective), Patience: -1}
+			w := &routing.Waiter{Class: model.Normal, Deadline: now.Add(max(3*k.objective, k.latest)), Patience: -1}
 			if withObjectives {
 				w.Kind, w.Priority, w.Objective = k.name, k.priority, now.Add(k.objective)
+				w.Latest = now.Add(k.latest)
 			}
-			r := running{w: w, k: k, due: now.Add(k.objective)}
+			r := running{w: w, k: k, due: now.Add(k.keptUntil())}
 			o := results[k.name]
 			o.asked++
 			results[k.name] = o
@@ -94,8 +100,8 @@
 // should be in time, and the rest refused early.
 var _ = Describe("admission under overload", func() {
 	orders := []kind{
-		{"look", 70, 120 * time.Millisecond, 400 * time.Millisecond, 2},
-		{"place", 30, 160 * time.Millisecond, 500 * time.Millisecond, 1},
+		{"look", 70, 120 * time.Millisecond, 400 * time.Millisecond, 2, 0},
+		{"place", 30, 160 * time.Millisecond, 500 * time.Millisecond, 1, 0},
 	}
 
 	// Guards against a queue in which every request becomes late: 17% of the
@@ -114,10 +120,26 @@
 	// priority, seen on a hunted day with two of three document servers lost.
 	It("does not starve long requests behind short ones", func() {
 		results := play(9, []kind{
-			{"check", 260, 30 * time.Millisecond, 120 * time.Millisecond, 1},
-			{"upload", 25, 140 * time.Millisecond, 500 * time.Millisecond, 1},
+			{"check", 260, 30 * time.Millisecond, 120 * time.Millisecond, 1, 0},
+			{"upload", 25, 140 * time.Millisecond, 500 * time.Millisecond, 1, 0},
 		}, true)
 		Expect(results["upload"].share()).To(BeNumerically(">", 0.8))
 		Expect(results["check"].share()).To(BeNumerically(">", 0.5))
 	})
+
+	// Guards against calls of servers that are refused for being a little late:
+	// each one fails a look-up whose work is done. On trouble-3 of
+	// lipa-reorder-grown 9,183 attempts ended so, of 69,000.
+	It("keeps calls of servers until their deadline, and uploads served", func() {
+		load := func(latest time.Duration) map[string]outcome {
+			return play(6, []kind{
+				{"check", 120, 30 * time.Millisecond, 120 * time.Millisecond, 1, latest},
+				{"upload", 15, 150 * time.Millisecond, 800 * time.Millisecond, 1, 0},
+			}, true)
+		}
+		refused, kept := load(0), load(400*time.Millisecond)
+		Expect(float64(refused["check"].refused) / float64(refused["check"].asked)).To(BeNumerically(">", 0.05))
+		Expect(kept["check"].share()).To(BeNumerically(">", 0.97))
+		Expect(kept["upload"].share()).To(BeNumerically(">", 0.8))
+	})
 })
