Bound answers of targets that have no end

Cause: a faulty target may send bytes without end in place of an answer. A target that sent such bytes until the deadline did not count as failing, so that it went on to get its part of the requests.

Ruled out: counting each missed deadline against the target. One that is still at work may only be busy.

--- a/internal/proxy/direct.go
+++ b/internal/proxy/direct.go
@@ -28,9 +28,11 @@
 	writer *bufio.Writer
 	// headerLeft is how many bytes the header of the answer may still have.
 	headerLeft int64
-	idleSince  time.Time
-	probe      [1]byte
-	silent     bool
+	// begun is true once bytes came in the place of the answer.
+	begun     bool
+	idleSince time.Time
+	probe     [1]byte
+	silent    bool
 	// requestID is as in linkOptions.
 	requestID string
 	// spent is true when the connection cannot carry another request: the last
@@ -61,6 +63,7 @@
 	}
 	n, err := c.countedConn.Read(p[:min(int64(len(p)), c.headerLeft)])
 	c.headerLeft -= int64(n)
+	c.begun = c.begun || n > 0
 	return n, err
 }
 
@@ -92,6 +95,9 @@
 	// maxStrayBytes the length of each.
 	maxStrays     = 3
 	maxStrayBytes = 1 << 20
+	// maxInformational bounds the informational answers before the final one, as
+	// net/http does. A faulty endpoint may send them without end.
+	maxInformational = 5
 )
 
 // exchange sends the request and reads the header of the final answer.
@@ -132,13 +138,16 @@
 // answer to an earlier request late, which is told by its id and skipped.
 func (c *directConn) receive(r *http.Request) (*http.Response, error) {
 	defer func() { c.headerLeft = unlimited }()
-	for strays := 0; ; {
+	for strays, early := 0, 0; ; {
 		c.headerLeft = maxAnswerHeaderBytes
 		response, err := http.ReadResponse(c.reader, r)
 		switch {
 		case err != nil:
 			return nil, err
 		case informational(response.StatusCode):
+			if early++; early > maxInformational {
+				return nil, errors.New("the endpoint sends informational answers without end")
+			}
 		case !c.stray(r, response):
 			return response, nil
 		case strays == maxStrays || response.Close:
@@ -180,12 +189,13 @@
 		return sendResult{}, false
 	}
 	base := conn.written.Load()
+	conn.begun = false
 	d := &directBody{pool: &l.pool, conn: conn}
 	d.release = context.AfterFunc(ctx, conn.abort)
 	response, err := conn.exchange(s.request)
 	if err != nil {
 		d.end(false)
-		return sendResult{err: err, wrote: conn.written.Load() != base}, true
+		return sendResult{err: err, wrote: conn.written.Load() != base, begun: conn.begun}, true
 	}
 	d.keep = !conn.spent && !response.Close && response.StatusCode != http.StatusSwitchingProtocols
 	if response.Body == http.NoBody {
--- a/internal/proxy/gather.go
+++ b/internal/proxy/gather.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 )
 
@@ -68,7 +70,8 @@
 		return fault.Wrap(err, fault.Protocol, "the answer was cut short")
 	}
 	if len(body) > limit {
-		response.Body = &resumed{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
+		rest := &bounded{from: response.Body, left: maxOpenBytes - int64(len(body))}
+		response.Body = &resumed{Reader: io.MultiReader(bytes.NewReader(body), rest), Closer: response.Body}
 		return nil
 	}
 	_ = response.Body.Close()
@@ -83,6 +86,29 @@
 	return nil
 }
 
+// maxOpenBytes bounds an answer without a stated length, which a faulty endpoint
+// may send until the connection is closed. It is what operators allow for the
+// bodies of requests on the users' platform.
+const maxOpenBytes = 64 << 20
+
+var errEndless = errors.New("the answer has no end")
+
+// bounded fails with errEndless beyond its bytes.
+type bounded struct {
+	from io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errEndless
+	}
+	n, err := b.from.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
 // resumed is a body whose beginning was read already.
 type resumed struct {
 	io.Reader
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -133,7 +133,9 @@
 	took := s.n.config.Now().Sub(begun)
 	s.n.config.Metrics.firstByte(inboundSide, s.route, took)
 	if result.err != nil {
-		if s.ctx.Err() == nil {
+		// A target that is still at work at the deadline may only be busy, unlike
+		// one that sends bytes which do not become an answer.
+		if s.ctx.Err() == nil || result.begun && s.r.Context().Err() == nil {
 			s.served.failures.add(true)
 		}
 		s.observe(took, result.wrote)
@@ -239,7 +241,10 @@
 	}
 	s.early.beforeAnswer(s.source)
 	result := relay(s.w, response, kept)
-	if result.upstream != nil && s.ctx.Err() == nil {
+	if result.upstream != nil && s.r.Context().Err() == nil {
+		s.served.failures.add(true)
+	}
+	if result.upstream != nil && s.ctx.Err() == nil && !errors.Is(result.upstream, errEndless) {
 		s.crashed(request)
 	}
 	if result.upstream == nil {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -205,6 +205,8 @@
 	err      error
 	// wrote is false when surely no byte of the request reached the endpoint.
 	wrote bool
+	// begun is true when bytes came, but no whole answer.
+	begun bool
 	// refused is true when no connection could be opened.
 	refused bool
 	// setup is the part of the time that a new connection may have cost; zero
@@ -247,7 +249,7 @@
 	}
 	if result.err == nil {
 		if err := gather(result.response, l.wholeBytes); err != nil {
-			return sendResult{err: err, wrote: true}
+			return sendResult{err: err, wrote: true, begun: true}
 		}
 	}
 	return result
