Ask another reader before reading the store itself

Cause: a daemon whose reader is not one any more, because it restarts or because rows differ for a moment, listed both tables and watched them for three seconds.

Change: a reader that says that it does not read is left for a second, and the other one of the failure domain is asked first. A daemon that reads the store itself goes back to the others as soon as the store does not answer it.

Ruled out: failing reads of readers themselves; they were 18 watches.

--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -140,6 +140,54 @@
 		Eventually(store.watches.Load, relayWait/2, 10*time.Millisecond).Should(BeNumerically(">=", 1))
 	})
 
+	// Guards against calls of the store by every daemon whose reader has just
+	// stopped to be one, although the failure domain has another reader: on
+	// trouble-1 of lipa-reorder-large that was the usual case while 115 daemons
+	// were restarted in turn.
+	It("are left to the other reader when the first one does not read the store", func() {
+		reader := func(reading bool) string {
+			asked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				sleep(r.Context(), 50*time.Millisecond)
+				writeGossip(w, r, &gossip{VM: "b", Reading: reading})
+			}))
+			DeferCleanup(asked.Close)
+			return asked.Listener.Addr().String()
+		}
+		store := &changing{}
+		d := New(Config{VM: "a", Store: store, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
+		relay := mesh.Relay{Sources: []string{reader(false), reader(true)}}
+		d.relay.Store(&relay)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.followRows(ctx)
+		go d.run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		Expect(store.lists.Load()).To(BeZero())
+		Expect(store.watches.Load()).To(BeZero())
+	})
+
+	// Guards against calls in vain by a daemon that reads the store itself,
+	// while the store turns it away and another reader answers.
+	It("end when the store turns the daemon away and another daemon answers", func() {
+		asked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			sleep(r.Context(), 50*time.Millisecond)
+			writeGossip(w, r, &gossip{VM: "b", Reading: true})
+		}))
+		DeferCleanup(asked.Close)
+		store := &changing{}
+		store.down.Store(true)
+		d := New(Config{VM: "a", Store: store, Operators: noOperators{}, Logger: logging.Discard().Component("test")})
+		d.listedOnce.Store(true)
+		relay := mesh.Relay{Sources: []string{asked.Listener.Addr().String()}}
+		d.relay.Store(&relay)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		began := time.Now()
+		d.readStore(ctx, began.Add(directFor), true)
+		Expect(time.Since(began)).To(BeNumerically("<", directFor/2))
+	})
+
 	// Guards against calls of every daemon while the store is down: 81 of them
 	// made 1,600 in 8 s. One that only the reader misses is found all the same.
 	It("are left to the reader while it says that the store is down", func() {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/progress"
 )
@@ -24,6 +26,9 @@
 	// failed, and sourcePause how long a failed source is not asked.
 	directFor   = 3 * time.Second
 	sourcePause = 8 * time.Second
+	// settleFor is both for a source that does not read the store. It notices
+	// within roleInterval that it should, once it has the same rows.
+	settleFor = time.Second
 	// probePause is how often a daemon calls the store while its reader says that
 	// the store does not answer.
 	probePause = 2 * time.Second
@@ -47,6 +52,12 @@
 	firstLeave = firstRead + firstReadSpread + 100*time.Millisecond
 )
 
+// Reasons why a source that answers is left.
+var (
+	errNotReading = errors.New("it does not read the store")
+	errTurnedAway = errors.New("the store turns it away and not this daemon")
+)
+
 // followRows keeps the tables up to date, from the store or from the readers
 // of the failure domain.
 func (d *Daemon) followRows(ctx context.Context) {
@@ -61,29 +72,47 @@
 			source = failed.choose(time.Now(), relay.Sources)
 		}
 		if source == "" || time.Now().Before(directUntil) {
-			d.readStore(ctx, directUntil)
+			d.readStore(ctx, directUntil, source != "")
+			directUntil = time.Now()
 			continue
 		}
 		err := d.followSource(ctx, source)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		d.logger.Warn().Err(err).Str("event", "source-lost").Str("source", source).Msg("the daemon reads the store itself")
-		directUntil = time.Now().Add(directFor)
-		if !fault.Is(err, fault.Stale) {
-			failed.add(time.Now(), source)
+		d.logger.Warn().Err(err).Str("event", "source-lost").Str("source", source).Msg("the daemon looks for another source of rows")
+		switch {
+		case errors.Is(err, errTurnedAway):
+			directUntil = time.Now().Add(directFor)
+		case errors.Is(err, errNotReading):
+			// Daemons whose rows differ choose different readers for a moment.
+			failed.add(time.Now(), source, settleFor)
+			directUntil = d.directUnless(&failed, settleFor)
+		default:
+			failed.add(time.Now(), source, sourcePause)
+			directUntil = d.directUnless(&failed, directFor)
 		}
 	}
 }
 
+// directUnless returns until when the daemon reads the store itself: not at all
+// while there is another reader to ask.
+func (d *Daemon) directUnless(failed *failedSources, wait time.Duration) time.Time {
+	now := time.Now()
+	if relay := d.relay.Load(); relay != nil && failed.choose(now, relay.Sources) != "" {
+		return now
+	}
+	return now.Add(wait)
+}
+
 // failedSources remembers the sources that failed lately.
 type failedSources struct{ until map[string]time.Time }
 
-func (f *failedSources) add(now time.Time, source string) {
+func (f *failedSources) add(now time.Time, source string, pause time.Duration) {
 	if f.until == nil {
 		f.until = map[string]time.Time{}
 	}
-	f.until[source] = now.Add(sourcePause)
+	f.until[source] = now.Add(pause)
 }
 
 // choose returns the first source that did not fail lately, or "".
@@ -97,8 +126,9 @@
 }
 
 // readStore watches both tables until the time, and on until another daemon
-// reads them for this one.
-func (d *Daemon) readStore(ctx context.Context, until time.Time) {
+// reads them for this one. It ends early when the store does not answer and
+// there is another daemon to ask.
+func (d *Daemon) readStore(ctx context.Context, until time.Time, others bool) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.reading.Store(true)
@@ -115,7 +145,8 @@
 		sleep(ctx, roleInterval)
 		relay := d.relay.Load()
 		early := d.config.FirstStart && time.Since(d.started) < firstLeave
-		if relay != nil && !relay.Reader && d.listedOnce.Load() && !early && time.Now().After(until) {
+		settled := time.Now().After(until) || others && d.storeLost.Load()
+		if relay != nil && !relay.Reader && d.listedOnce.Load() && !early && settled {
 			break
 		}
 	}
@@ -158,7 +189,7 @@
 			return err
 		}
 		if !answer.Reading {
-			return fault.New(fault.Stale, "the daemon at %s does not read the store", source)
+			return fault.Wrap(errNotReading, fault.Stale, "the daemon at %s", source)
 		}
 		d.storeLost.Store(answer.StoreLost)
 		if !answer.StoreLost {
@@ -168,7 +199,7 @@
 		// whether it only turns the reader away.
 		if time.Since(probed) >= probePause {
 			if _, err := d.list(ctx, causeProbe, d.config.Operators.Table()); err == nil {
-				return fault.New(fault.Stale, "the store turns the daemon at %s away", source)
+				return fault.Wrap(errTurnedAway, fault.Stale, "the daemon at %s", source)
 			}
 			probed = time.Now()
 		}
