Encode what a reader answers once for all daemons that ask

Cause: a change wakes all daemons that wait for a reader, 28 on the large site, and the reader encoded and compressed the answer for each of them.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -65,8 +65,10 @@
 	// holding holds the last logged reason of each held move.
 	holding map[string]string
 
-	// tables holds the rows for daemons without the store.
-	tables tables
+	// tables holds the rows for daemons without the store, and answers what was
+	// encoded of them.
+	tables  tables
+	answers answers
 	// storeLost is true while the watches of the store fail, and writeFailed
 	// is when a write failed last, in nanoseconds.
 	storeLost   atomic.Bool
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -325,7 +325,7 @@
 	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh,
 		reset: func(now time.Time, all []rows.Row) {
 			d.refused(d.node.Reset(now, all))
-			d.tables.mesh.rows = map[rows.Key]rows.Row{}
+			d.tables.mesh.clear()
 			d.tables.mesh.merge(all)
 			for _, row := range all {
 				d.own.saw(row)
@@ -337,7 +337,7 @@
 			d.refused(d.node.Change(now, changes))
 			for _, c := range changes {
 				if c.Removed {
-					delete(d.tables.mesh.rows, c.Key)
+					d.tables.mesh.remove(c.Key)
 					continue
 				}
 				d.tables.mesh.merge([]rows.Row{c.Row})
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -148,7 +148,7 @@
 		reader := func(reading bool) string {
 			asked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				sleep(r.Context(), 50*time.Millisecond)
-				writeGossip(w, r, &gossip{VM: "b", Reading: reading})
+				writeGossip(w, &gossip{VM: "b", Reading: reading})
 			}))
 			DeferCleanup(asked.Close)
 			return asked.Listener.Addr().String()
@@ -171,7 +171,7 @@
 	It("end when the store turns the daemon away and another daemon answers", func() {
 		asked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			sleep(r.Context(), 50*time.Millisecond)
-			writeGossip(w, r, &gossip{VM: "b", Reading: true})
+			writeGossip(w, &gossip{VM: "b", Reading: true})
 		}))
 		DeferCleanup(asked.Close)
 		store := &changing{}
@@ -192,7 +192,7 @@
 	// made 1,600 in 8 s. One that only the reader misses is found all the same.
 	It("are left to the reader while it says that the store is down", func() {
 		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			writeGossip(w, r, &gossip{VM: "b", Reading: true, StoreLost: true})
+			writeGossip(w, &gossip{VM: "b", Reading: true, StoreLost: true})
 		}))
 		DeferCleanup(peer.Close)
 		store := &changing{}
--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -234,38 +234,54 @@
 	if asked {
 		d.awaitNews(r.Context(), &message)
 	}
+	var key answerKey
+	var newer []rows.Row
 	d.loop.call(func(now time.Time) {
 		answer = d.digest()
 		if asked {
 			answer = d.cursors()
 			answer.Reading, answer.StoreLost = d.reading.Load(), d.cutOff()
 		}
-		answer.Operators.Rows = sendRows(d.tables.operators.since(message.Operators.Version))
-		answer.Mesh.Rows = sendRows(d.tables.mesh.since(message.Mesh.Version))
+		key = d.answerKey(&message, &answer)
+		newer = append(d.tables.operators.since(message.Operators.Version), d.tables.mesh.since(message.Mesh.Version)...)
 		behind = answer.Operators.Version < message.Operators.Version || answer.Mesh.Version < message.Mesh.Version
 	})
-	writeGossip(w, r, &answer)
+	if len(newer) == 0 || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		answer.addRows(newer)
+		writeGossip(w, &answer)
+	} else {
+		writeEncoded(w, d.answers.get(key, func() []byte {
+			answer.addRows(newer)
+			return encodeGossip(&answer)
+		}))
+	}
 	if behind && !asked && message.Peer != "" {
 		go d.exchange(context.WithoutCancel(r.Context()), message.Peer)
 	}
 }
 
-// writeGossip sends an answer, compressed when it may be long. A configuration
-// with many routes has a few hundred kilobytes, and small VMs have slow links.
-func writeGossip(w http.ResponseWriter, r *http.Request, answer *gossip) {
+// addRows adds rows of both tables to the message.
+func (g *gossip) addRows(all []rows.Row) {
+	for _, row := range sendRows(all) {
+		if row.Table == mesh.Table {
+			g.Mesh.Rows = append(g.Mesh.Rows, row)
+			continue
+		}
+		g.Operators.Rows = append(g.Operators.Rows, row)
+	}
+}
+
+func writeGossip(w http.ResponseWriter, answer *gossip) {
 	w.Header().Set("Content-Type", "application/json")
 	// A daemon that has gone away asks another one, so that failures of writing
 	// need no handling.
-	if len(answer.Operators.Rows)+len(answer.Mesh.Rows) == 0 || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		_ = json.NewEncoder(w).Encode(answer)
-		return
-	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// writeEncoded sends what encodeGossip returned.
+func writeEncoded(w http.ResponseWriter, encoded []byte) {
+	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
-	compressed, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
-	if err != nil {
-		// The level is a valid one.
-		return
-	}
-	_ = json.NewEncoder(compressed).Encode(answer)
-	_ = compressed.Close()
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	_, _ = w.Write(encoded)
 }
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -30,6 +30,8 @@
 	// complete is the version up to which no row is missing; zero means that
 	// the table was not listed.
 	complete uint64
+	// changes counts the changes of the rows.
+	changes uint64
 }
 
 func newTable() table { return table{rows: map[rows.Key]rows.Row{}} }
@@ -43,12 +45,25 @@
 	for _, row := range all {
 		if have, ok := t.rows[row.Key]; !ok || row.Version > have.Version {
 			t.rows[row.Key] = row
+			t.changes++
 			fresh = append(fresh, row)
 		}
 	}
 	return fresh
 }
 
+// remove forgets a row.
+func (t *table) remove(key rows.Key) {
+	delete(t.rows, key)
+	t.changes++
+}
+
+// clear forgets all rows.
+func (t *table) clear() {
+	t.rows = map[rows.Key]rows.Row{}
+	t.changes++
+}
+
 func (t *table) newest() uint64 {
 	var version uint64
 	for _, row := range t.rows {
