--- a/internal/move/planner_test.go
+++ b/internal/move/planner_test.go
@@ -144,6 +144,28 @@
 		Expect(d.Reason).To(ContainSubstring("not finished in time: evidence of the new version is missing"))
 	})
 
+	// Guards against a move that waits for evidence of a route that got a few
+	// requests at once and no more, such as those that test which configuration is
+	// in force. On trouble-1 of sudsy-tokens a good version was held at 10% for 17 s
+	// by it, and was not done in time.
+	It("does not wait for a route whose requests came all at once", func() {
+		p := move.NewPlanner(move.Config{Ticket: openTicket(16*time.Second, model.OnTime), Epoch: 1}, start)
+		w := newWorld(1)
+		for since := time.Duration(0); since <= 10*time.Second; since += move.SampleInterval {
+			if since == 2*time.Second {
+				p.Observe(start.Add(since), []move.Sample{draw(w.rng, key("probed", false), 16, usual)})
+			}
+			p.Observe(start.Add(since), []move.Sample{
+				draw(w.rng, key("lookup", false), 200, usual), draw(w.rng, key("lookup", true), 2, usual),
+			})
+			d := p.Next(start.Add(since), fine)
+			if since > 6*time.Second {
+				Expect(d.Reason).NotTo(ContainSubstring("evidence of the new version is missing"))
+				Expect(d.Reason).NotTo(ContainSubstring("a route has not used the new version"))
+			}
+		}
+	})
+
 	// Guards against a version whose targets all died keeping the traffic.
 	It("takes back when the new version's targets stay away", func() {
 		p := planner(model.OnTime, move.Step{}, 0)
--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -118,10 +118,13 @@
 }
 
 // active reports whether the route has traffic. The mean since the first
-// request counts too, because a few requests in a row are not a rate.
+// request counts too, because a few requests in a row are not a rate, and a
+// route that has been silent for longer than it was seen is over.
 func (r *routeTraffic) active(now time.Time) bool {
 	mean := float64(r.total) / (now.Sub(r.first) + rateWindow).Seconds()
-	return now.Sub(r.last) < idleAfter && r.rate() >= activeRate && mean >= activeRate
+	silent := now.Sub(r.last)
+	over := silent > r.last.Sub(r.first)+evidenceLag
+	return silent < idleAfter && !over && r.rate() >= activeRate && mean >= activeRate
 }
 
 // missing reports whether an active route gave no evidence of the new version
