Take a version's absence on a route for missing evidence only if it is no chance

With 2 requests of the old version and 75% of the route for the new one, none of the new one were expected to be six; they are absent on one route of sixteen.

--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -19,8 +19,8 @@
 	// versions with traffic for more than 3 s, at 150 it took back 3 good ones of
 	// 240 under overload.
 	smallRate = 60.0
-	// expectedRequests is how many requests of the new version must be
-	// expected before their absence counts as missing evidence.
+	// expectedRequests is how many requests of a route must be expected before
+	// their absence counts as missing evidence.
 	expectedRequests = 5
 )
 
@@ -143,7 +143,7 @@
 		if !r.active(now) {
 			continue
 		}
-		if late && r.newInStep == 0 && r.expectedNew(permille) >= expectedRequests {
+		if late && r.newInStep == 0 && r.unlikely(permille) {
 			return true
 		}
 		silent := now.Sub(r.last) - evidenceLag
@@ -159,11 +159,17 @@
 // test which configuration is in force, leave long gaps.
 const steadyGaps = 2
 
-// expectedNew is how many requests the new version should have got in this step
+// unlikelyAbsence is the evidence, in nats, from which the absence of requests
+// of the new version is no chance: one in a thousand. Routes with a few requests
+// are many, and some of them give the new version none.
+const unlikelyAbsence = 7
+
+// unlikely reports whether the new version should have got requests in this step
 // by those of the old one.
-func (r *routeTraffic) expectedNew(permille uint32) float64 {
+func (r *routeTraffic) unlikely(permille uint32) bool {
 	if permille >= FullProgress {
-		return 0
+		return false
 	}
-	return float64(r.oldInStep) * float64(permille) / float64(FullProgress-permille)
+	old := 1 - float64(permille)/FullProgress
+	return -math.Log(old)*float64(r.oldInStep) >= unlikelyAbsence
 }
