--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -198,8 +198,11 @@
 		return "evidence does not reach the controller"
 	case !p.targets.ready():
 		return "the new version has no ready target"
-	case p.traffic.missing(now, p.step.Permille):
-		return "evidence of the new version is missing"
+	}
+	if missing := p.traffic.missing(now, p.step.Permille); missing != "" {
+		return "evidence of the new version is missing: " + missing
+	}
+	switch {
 	case p.step.Permille == ProvingPermille && p.traffic.unseen(now, p.schedule.patience()):
 		return "a route has not used the new version yet"
 	case p.step.Permille == ProvingPermille && !p.proved(now):
--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -136,22 +137,25 @@
 
 // missing reports whether an active route gave no evidence of the new version
 // in this step, though its requests to the old one say that it should have, or
-// whether all of its evidence has ended.
-func (t *traffic) missing(now time.Time, permille uint32) bool {
+// whether all of its evidence has ended. It returns what is missing on
+// which route, or "". The text is the same while that is, since it is logged when
+// it changes.
+func (t *traffic) missing(now time.Time, permille uint32) string {
 	late := now.Sub(t.stepAt) >= evidenceLag
-	for _, r := range t.routes {
+	for _, key := range t.order {
+		r := t.routes[key]
 		if !r.active(now) {
 			continue
 		}
 		if late && r.newInStep == 0 && r.unlikely(permille) {
-			return true
+			return fmt.Sprintf("route %q has only requests of the old one", key.route)
 		}
 		silent := now.Sub(r.last) - evidenceLag
 		if silent > steadyGaps*r.gap && r.rate()*silent.Seconds() >= expectedRequests {
-			return true
+			return fmt.Sprintf("route %q is silent", key.route)
 		}
 	}
-	return false
+	return ""
 }
 
 // steadyGaps is how many times its longest gap a route has to be silent for its
