--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -142,6 +142,10 @@
 // it changes.
 func (t *traffic) missing(now time.Time, permille uint32) string {
 	late := now.Sub(t.stepAt) >= evidenceLag
+	var all uint64
+	for _, r := range t.routes {
+		all += r.total
+	}
 	for _, key := range t.order {
 		r := t.routes[key]
 		if !r.active(now) {
@@ -151,17 +155,24 @@
 			return fmt.Sprintf("route %q has only requests of the old one", key.route)
 		}
 		silent := now.Sub(r.last) - evidenceLag
-		if silent > steadyGaps*r.gap && r.rate()*silent.Seconds() >= expectedRequests {
+		steady := silent > steadyGaps*r.gap && float64(r.total) >= minorPart*float64(all)
+		if steady && r.rate()*silent.Seconds() >= expectedRequests {
 			return fmt.Sprintf("route %q is silent", key.route)
 		}
 	}
 	return ""
 }
 
-// steadyGaps is how many times its longest gap a route has to be silent for its
-// evidence to count as missing. Requests that come in bursts, such as those that
-// test which configuration is in force, leave long gaps.
-const steadyGaps = 2
+const (
+	// steadyGaps is how many times its longest gap a route has to be silent for
+	// its evidence to count as missing. Requests that come in bursts, such as those
+	// that test which configuration is in force, leave long gaps.
+	steadyGaps = 2
+	// minorPart is the part of all requests below which the silence of a route
+	// says nothing. A request that gets no answer counts at its deadline, so that
+	// a route with callers is not silent for long.
+	minorPart = 0.01
+)
 
 // unlikelyAbsence is the evidence, in nats, from which the absence of requests
 // of the new version is no chance: one in a thousand. Routes with a few requests
