--- a/internal/move/traffic.go
+++ b/internal/move/traffic.go
@@ -23,6 +23,18 @@
 	// expectedRequests is how many requests of a route must be expected before
 	// their absence counts as missing evidence.
 	expectedRequests = 5
+	// steadyGaps is how many times its longest gap a route has to be silent for
+	// its evidence to count as missing. Requests that come in bursts, such as those
+	// that test which configuration is in force, leave long gaps.
+	steadyGaps = 2
+	// minorPart is the part of all requests below which the silence of a route
+	// says nothing. A request that gets no answer counts at its deadline, so that
+	// a route with callers is not silent for long.
+	minorPart = 0.01
+	// unlikelyAbsence is the evidence, in nats, from which the absence of requests
+	// of the new version is no chance: one in a thousand. Routes with a few
+	// requests are many, and some of them give the new version none.
+	unlikelyAbsence = 7
 )
 
 // traffic knows how much evidence each route should give.
@@ -135,11 +147,10 @@
 	return silent < idleAfter && !over && r.rate() >= activeRate && mean >= activeRate
 }
 
-// missing reports whether an active route gave no evidence of the new version
-// in this step, though its requests to the old one say that it should have, or
-// whether all of its evidence has ended. It returns what is missing on
-// which route, or "". The text is the same while that is, since it is logged when
-// it changes.
+// missing says which active route gave no evidence of the new version in this
+// step, though its requests to the old one say that it should have, or which one
+// gives no evidence at all any more. It returns "" when there is none. The text
+// holds no counts, since it is logged when it changes.
 func (t *traffic) missing(now time.Time, permille uint32) string {
 	late := now.Sub(t.stepAt) >= evidenceLag
 	var all uint64
@@ -163,22 +174,6 @@
 	return ""
 }
 
-const (
-	// steadyGaps is how many times its longest gap a route has to be silent for
-	// its evidence to count as missing. Requests that come in bursts, such as those
-	// that test which configuration is in force, leave long gaps.
-	steadyGaps = 2
-	// minorPart is the part of all requests below which the silence of a route
-	// says nothing. A request that gets no answer counts at its deadline, so that
-	// a route with callers is not silent for long.
-	minorPart = 0.01
-)
-
-// unlikelyAbsence is the evidence, in nats, from which the absence of requests
-// of the new version is no chance: one in a thousand. Routes with a few requests
-// are many, and some of them give the new version none.
-const unlikelyAbsence = 7
-
 // unlikely reports whether the new version should have got requests in this step
 // by those of the old one.
 func (r *routeTraffic) unlikely(permille uint32) bool {
