--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -74,7 +74,8 @@
 // the loop.
 func (o *ownRow) update() {
 	d := o.d
-	// At a first start there is no earlier row to learn of.
+	// At a first start there is no earlier row to learn of. One that exists all the
+	// same shows by the conflict of the write.
 	known := d.listed || d.config.FirstStart && d.target.state != 0
 	if !known || d.target.state == 0 && time.Since(d.started) < heartbeatWait {
 		return
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -26,8 +26,10 @@
 	// failed, and sourcePause how long a failed source is not asked.
 	directFor   = 3 * time.Second
 	sourcePause = 8 * time.Second
-	// settleFor is both for a source that does not read the store. It notices
-	// within roleInterval that it should, once it has the same rows.
+	// settleFor is how long a source that does not read the store is not asked,
+	// and how long a daemon without another source reads the store itself. The
+	// source notices within roleInterval that it should read, once it has the same
+	// rows.
 	settleFor = time.Second
 	// probePause is how often a daemon calls the store while its reader says that
 	// the store does not answer.
