--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -18,7 +18,7 @@
 	failureCost = 500 * time.Millisecond
 	// distanceCost is the cost of another failure domain: the way there, a few
 	// milliseconds, and the price of traffic between domains, which is most of it.
-	// At half of it, up to a quarter more bytes left their domain, and no more
+	// At half of it, up to a third more bytes left their domain, and no more
 	// requests were served.
 	distanceCost = 60 * time.Millisecond
 	// staleAfter is the age from which a report says nothing about a slot that
