--- /dev/null
+++ b/internal/routing/queue.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/magnoliamount/magnoliamount/internal/model"
+)
+
+// fifoGrantInterval is the interval, in grants of a slot, at which the slot
+// goes to the oldest waiter with an objective. Without it, short requests
+// with a near objective starve long ones; on a document service, look-ups
+// starved uploads.
+const fifoGrantInterval = 4
+
+// classes lists the classes in the order in which their requests go.
+var classes = [classCount]model.Class{model.Urgent, model.Normal, model.Bulk}
+
+const classCount = 3
+
+// rank returns the index of a class in classes. Unknown classes rank as normal.
+func rank(c model.Class) int {
+	switch c {
+	case model.Urgent:
+		return 0
+	case model.Bulk:
+		return 2
+	}
+	return 1
+}
+
+// waitQueue holds the waiters of one target, by class and in the order in which
+// they get a slot.
+type waitQueue struct {
+	classes [classCount][]*Waiter
+	grants  int
+}
+
+// length returns the number of waiters.
+func (q *waitQueue) length() int {
+	n := 0
+	for _, waiters := range q.classes {
+		n += len(waiters)
+	}
+	return n
+}
+
+func (q *waitQueue) empty(class int) bool { return len(q.classes[class]) == 0 }
+
+func (q *waitQueue) insert(w *Waiter) {
+	waiters := q.classes[rank(w.Class)]
+	at := len(waiters)
+	for at > 0 && goesBefore(w, waiters[at-1]) {
+		at--
+	}
+	q.classes[rank(w.Class)] = slices.Insert(waiters, at, w)
+}
+
+// goesBefore reports whether a new waiter goes before another of its class: by
+// priority, then by objective.
+func goesBefore(w, other *Waiter) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
+	}
+	return !w.Objective.IsZero() && (other.Objective.IsZero() || w.Objective.Before(other.Objective))
+}
+
+// remove removes a waiter. It returns false when the waiter is not in the queue.
+func (q *waitQueue) remove(w *Waiter) bool {
+	waiters := q.classes[rank(w.Class)]
+	i := slices.Index(waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.classes[rank(w.Class)] = slices.Delete(waiters, i, i+1)
+	return true
+}
+
+// removeIf removes the waiters for which expired returns true.
+func (q *waitQueue) removeIf(expired func(*Waiter) bool) {
+	for class, waiters := range q.classes {
+		q.classes[class] = slices.DeleteFunc(waiters, expired)
+	}
+}
+
+// pop removes and returns the first waiter of the class. Every
+// fifoGrantInterval grants, it takes the oldest waiter with an objective,
+// regardless of priority.
+func (q *waitQueue) pop(class int) *Waiter {
+	waiters := q.classes[class]
+	at := 0
+	q.grants++
+	if q.grants%fifoGrantInterval == 0 {
+		for i, w := range waiters {
+			if !w.Objective.IsZero() && w.arrivedAt.Before(waiters[at].arrivedAt) {
+				at = i
+			}
+		}
+	}
+	w := waiters[at]
+	q.classes[class] = slices.Delete(waiters, at, at+1)
+	return w
+}
+
+// countAhead returns the number of waiters that go before a new request.
+func (q *waitQueue) countAhead(w *Waiter) int {
+	n := 0
+	class := rank(w.Class)
+	for i := range class {
+		n += len(q.classes[i])
+	}
+	for _, other := range q.classes[class] {
+		if !goesBefore(w, other) {
+			n++
+		}
+	}
+	return n
+}
+
+// evictLower removes and returns the last waiter of a lower class, or of the
+// same class with a lower priority. It returns nil when there is none.
+func (q *waitQueue) evictLower(w *Waiter) *Waiter {
+	class := rank(w.Class)
+	for i := classCount - 1; i >= class; i-- {
+		n := len(q.classes[i])
+		if n == 0 {
+			continue
+		}
+		victim := q.classes[i][n-1]
+		if i == class && victim.Priority <= w.Priority {
+			return nil
+		}
+		q.classes[i] = q.classes[i][:n-1]
+		return victim
+	}
+	return nil
+}
