Order a target's queue by the latest start

Cause: every fourth slot went to the oldest waiter, whatever its priority, so that uploads would not starve behind short look-ups.

Change: requests of one priority go by objective less the time for which their kind holds a slot. A long request then comes to the front while it can still be in time, which the grants to the oldest were for; they go. The specs for starved uploads and for calls of servers hold; the latter's load rises from 120 to 135 calls/s, since the new order serves the old load without refusals above its bound and the contrast would be lost.

Ruled out: the order by objective without any grant, since the spec for starved uploads guards against it.

--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -54,10 +54,12 @@
 	UsefulUntil time.Time
 	// Patience is the longest time in the queue that the sender accepts at this
 	// target, since it can try other daemons; a negative value means no bound.
-	Patience   time.Duration
-	Verdict    Verdict
-	arrivedAt  time.Time
-	admittedAt time.Time
+	Patience time.Duration
+	Verdict  Verdict
+	// latestStart is the time by which the request needs a slot to meet its
+	// objective.
+	latestStart time.Time
+	admittedAt  time.Time
 }
 
 // Admission manages the slots of one target and the queue for them. It is not
@@ -80,7 +82,7 @@
 // the other waiters whose verdict changed: a full queue drops a waiter of a
 // lower class or priority in favor of the new request.
 func (a *Admission) Arrive(now time.Time, w *Waiter) []*Waiter {
-	w.arrivedAt = now
+	a.setLatestStart(w)
 	if a.hasFreeSlot(w.Class) && a.queue.countAhead(w) == 0 {
 		a.admit(now, w)
 		return nil
@@ -105,6 +107,7 @@
 // Preview returns the verdict that Arrive would give, without a change to the
 // queue. It does not consider waiters that Arrive would drop.
 func (a *Admission) Preview(now time.Time, w *Waiter) Verdict {
+	a.setLatestStart(w)
 	if a.hasFreeSlot(w.Class) && a.queue.countAhead(w) == 0 {
 		return Admitted
 	}
@@ -117,6 +120,13 @@
 	return Waiting
 }
 
+// setLatestStart sets the time that orders the request in the queue.
+func (a *Admission) setLatestStart(w *Waiter) {
+	if !w.Objective.IsZero() {
+		w.latestStart = w.Objective.Add(-a.holdTimes.expected(w))
+	}
+}
+
 // queueLimit returns the maximum queue length for the request. An objective
 // bounds the wait by itself, so that short requests in the queue need not keep
 // a long one out.
--- a/internal/routing/overload_test.go
+++ b/internal/routing/overload_test.go
@@ -132,13 +132,25 @@
 		Expect(results["check"].share()).To(BeNumerically(">", 0.5))
 	})
 
+	// Guards against slots that go to less urgent requests while more urgent ones
+	// of the same service are shed: on a day with a route moved to a service that
+	// was short of slots, 27% of the sales were refused and 19% of the look-ups.
+	// The sales alone are 0.9 of the capacity.
+	It("serves urgent requests that fit, whatever else asks", func() {
+		results := simulate(9, []kind{
+			{"look", 60, 120 * time.Millisecond, 400 * time.Millisecond, 2, 0},
+			{"sale", 50, 160 * time.Millisecond, 500 * time.Millisecond, 1, 0},
+		}, true)
+		Expect(results["sale"].share()).To(BeNumerically(">", 0.97))
+	})
+
 	// Guards against calls of servers that are shed for a small delay: each one
 	// fails a look-up whose work is done. In scenario trouble-3 of
 	// lipa-reorder-grown, 9,183 of 69,000 attempts failed in this way.
 	It("keeps calls of servers in the queue until their deadline, and still serves uploads", func() {
 		load := func(latest time.Duration) map[string]outcome {
 			return simulate(6, []kind{
-				{"check", 120, 30 * time.Millisecond, 120 * time.Millisecond, 1, latest},
+				{"check", 135, 30 * time.Millisecond, 120 * time.Millisecond, 1, latest},
 				{"upload", 15, 150 * time.Millisecond, 800 * time.Millisecond, 1, 0},
 			}, true)
 		}
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -6,12 +6,6 @@
 	"github.com/magnoliamount/magnoliamount/internal/model"
 )
 
-// fifoGrantInterval is the interval, in grants of a slot, at which the slot
-// goes to the oldest waiter with an objective. Without it, short requests
-// with a near objective starve long ones; on a document service, look-ups
-// starved uploads.
-const fifoGrantInterval = 4
-
 // classes lists the classes in the order in which their requests go.
 var classes = [classCount]model.Class{model.Urgent, model.Normal, model.Bulk}
 
@@ -32,7 +26,6 @@
 // they get a slot.
 type waitQueue struct {
 	classes [classCount][]*Waiter
-	grants  int
 }
 
 // length returns the number of waiters.
@@ -56,12 +49,13 @@
 }
 
 // goesBefore reports whether a new waiter goes before another of its class: by
-// priority, then by objective.
+// priority, then by the latest start. In the order of objectives, short requests
+// starve long ones, which need their slot well before their objective.
 func goesBefore(w, other *Waiter) bool {
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
-	return !w.Objective.IsZero() && (other.Objective.IsZero() || w.Objective.Before(other.Objective))
+	return !w.Objective.IsZero() && (other.Objective.IsZero() || w.latestStart.Before(other.latestStart))
 }
 
 // remove removes a waiter. It returns false when the waiter is not in the queue.
@@ -82,22 +76,10 @@
 	}
 }
 
-// pop removes and returns the first waiter of the class. Every
-// fifoGrantInterval grants, it takes the oldest waiter with an objective,
-// regardless of priority.
+// pop removes and returns the first waiter of the class.
 func (q *waitQueue) pop(class int) *Waiter {
-	waiters := q.classes[class]
-	at := 0
-	q.grants++
-	if q.grants%fifoGrantInterval == 0 {
-		for i, w := range waiters {
-			if !w.Objective.IsZero() && w.arrivedAt.Before(waiters[at].arrivedAt) {
-				at = i
-			}
-		}
-	}
-	w := waiters[at]
-	q.classes[class] = slices.Delete(waiters, at, at+1)
+	w := q.classes[class][0]
+	q.classes[class] = slices.Delete(q.classes[class], 0, 1)
 	return w
 }
 
