Make callers leave a stopping daemon's connections

Cause of the cut requests around planned stops: at the end of its drain notice a stopping daemon closes the idle connections of its callers. The sidecar already answers with "Connection: close" while it stops; the daemon did not.

The spec fails without it: no response of a stopping daemon closed its connection.

Left: a connection on which no request ends during the drain notice is still closed when the listener closes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	// targetGeneration counts the changes of the target, so that a delayed change
 	// is dropped if a newer one has been made.
 	targetGeneration atomic.Uint64
+	stopping         atomic.Bool
 }
 
 // Run starts a daemon and runs it until ctx ends or a listener fails. It then
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -199,6 +199,29 @@
 		Expect(stop()).To(Succeed())
 	})
 
+	// Guards against requests that a stopping daemon cuts: it closed idle
+	// connections of callers at the end of its drain notice, and a request that was
+	// on its way on one of them got EOF before any header.
+	It("make callers leave their connections while they stop", func() {
+		s := newSettings("vm-1", endpoint)
+		s.Timeouts.DrainNotice = 500 * time.Millisecond
+		stop := start(s)
+		Eventually(ready(s), testTimeout).Should(Equal(http.StatusOK))
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		closes := func() bool {
+			response, err := client.Get("http://" + s.Listen.Caller + "/none")
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			return response.Close
+		}
+		Expect(closes()).To(BeFalse())
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop() }()
+		Eventually(closes, s.Timeouts.DrainNotice, 5*time.Millisecond).Should(BeTrue())
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+
 	It("reject operators without the token, and return the same response for a repeated ticket", func() {
 		s := newSettings("vm-1", endpoint)
 		stop := start(s)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -21,6 +21,7 @@
 func (d *Daemon) stop(cause error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
 	defer cancel()
+	d.stopping.Store(true)
 	d.loop.post(core.Stop{})
 	drained := d.inbound.Drain(ctx)
 	stopped := d.servers.shutdown(ctx)
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/proxy"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
@@ -92,10 +93,10 @@
 	peer.HandleFunc("POST "+gossipPath, d.serveGossip)
 	inbound := d.senders.recordSenders(d.inbound, func() bool { return !d.ready.Load() })
 	s.link = d.link
-	if err := s.add("caller", d.config.Caller, d.closeWhileStopping(d.outbound), true); err != nil {
+	if err := s.add("caller", d.config.Caller, proxy.CloseWhile(d.stopping.Load, d.outbound), true); err != nil {
 		return err
 	}
-	if err := s.add("inbound", d.config.Inbound, d.closeWhileStopping(inbound), true); err != nil {
+	if err := s.add("inbound", d.config.Inbound, proxy.CloseWhile(d.stopping.Load, inbound), true); err != nil {
 		return err
 	}
 	if err := s.add("peer", d.config.Peer, peer, false); err != nil {
@@ -138,19 +139,6 @@
 	return failed
 }
 
-// closeWhileStopping returns a handler that makes the clients of a stopping
-// daemon open a new connection for their next request, which then goes to
-// another daemon. Idle connections stay open until the listeners close: closing
-// one now could coincide with a request that the client is sending on it.
-func (d *Daemon) closeWhileStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // close closes the servers and listeners that are still open.
 func (s *servers) close() {
 	for _, srv := range s.all {
