Shorten the heads of messages between daemons

Change: what a target's daemon reports is one header in place of four; the request's id is not repeated where callers name it themselves; a refusal for lack of room has no body where the sender explains it to the caller; answers between daemons have no date.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -36,6 +36,8 @@
 	// senderRetries is set when the sender will try another target, so that this
 	// refusal is not the final result of the request.
 	senderRetries bool
+	// noBody omits the body that describes the refusal.
+	noBody bool
 	// retryAfter is the value of the Retry-After header; zero omits the header.
 	retryAfter time.Duration
 	// crashFingerprint is the fingerprint of the request if the target crashed
@@ -72,17 +74,13 @@
 
 // write sends the response. The request's id may be empty.
 func (a *refusal) write(w http.ResponseWriter, id string) {
-	body := ErrorBody{Kind: fault.KindOf(a.err), Message: a.err.Error(), Outcome: a.outcome, Request: id}
-	if typed := fault.As(a.err); typed != nil {
-		body.Message = typed.Message
-	}
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		encoded = []byte("{}")
-	}
 	h := w.Header()
+	var encoded []byte
+	if !a.noBody {
+		encoded = a.encodeBody(id)
+		setHeader(h, "Content-Type", "application/json")
+	}
 	setHeader(h, OutcomeHeader, string(a.outcome))
-	setHeader(h, "Content-Type", "application/json")
 	setHeader(h, "Content-Length", strconv.Itoa(len(encoded)))
 	if a.noRetry {
 		setHeader(h, NoRetryHeader, "1")
@@ -107,6 +105,19 @@
 	_, _ = w.Write(encoded)
 }
 
+// encodeBody returns the body that describes the refusal.
+func (a *refusal) encodeBody(id string) []byte {
+	body := ErrorBody{Kind: fault.KindOf(a.err), Message: a.err.Error(), Outcome: a.outcome, Request: id}
+	if typed := fault.As(a.err); typed != nil {
+		body.Message = typed.Message
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return []byte("{}")
+	}
+	return encoded
+}
+
 // recordRefusal adds refusals that matter to operators to the timeline.
 func recordRefusal(o Observer, refused *refusal, id string, inputs func() string) {
 	event := timeline.Event{Request: id, Detail: refused.err.Error()}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -137,12 +137,11 @@
 	out := newOutgoingRequest(x.ctx, x.r, l.address, x.source, a.body, addedHeaderCount)
 	h := out.request.Header
 	stripDaemonHeaders(h)
-	if x.in.id != "" {
-		x.fields.set(h, RequestHeader, x.in.id)
-	}
 	if protocol := &x.o.config.Protocol; !protocol.usesDaemonHeaders() {
 		delete(h, protocol.ExpectedInstance)
 		x.fields.set(h, protocol.CallerService, x.o.config.CallerService)
+	} else if x.in.id != "" {
+		x.fields.set(h, RequestHeader, x.in.id)
 	}
 	x.fields.set(h, RouteHeader, x.route.Name)
 	x.fields.set(h, ServiceHeader, a.choice.Service.Name)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -39,15 +39,8 @@
 	ObjectiveHeader = "Magnoliamount-Objective-Ms"
 	PatienceHeader  = "Magnoliamount-Patience-Ms"
 	PriorityHeader  = "Magnoliamount-Priority"
-	// PaceHeader carries the mean time that the target takes to run a request, in
-	// milliseconds, and KindPaceHeader that for requests of the same route.
-	// FailuresHeader carries the fraction of its recent requests that failed.
-	PaceHeader     = "Magnoliamount-Pace-Ms"
-	KindPaceHeader = "Magnoliamount-Kind-Pace-Ms"
-	FailuresHeader = "Magnoliamount-Failures"
-	// LinkWaitHeader, on a response, carries how long bytes to its sender wait for
-	// the network link of that VM, in milliseconds.
-	LinkWaitHeader = "Magnoliamount-Link-Wait-Ms"
+	// ReportHeader, on a response, carries a targetReport.
+	ReportHeader = "Magnoliamount-Report"
 	// arrivedHeader is "1" on the response to a request that reached the target
 	// but did not run.
 	arrivedHeader = "Magnoliamount-Arrived"
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -110,6 +110,10 @@
 func (n *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.config.Metrics.begin(inboundSide)
 	defer n.config.Metrics.end(inboundSide)
+	if !n.config.Protocol.usesDaemonHeaders() {
+		// The caller's daemon adds the date.
+		w.Header()["Date"] = nil
+	}
 	s := &service{n: n, w: w, r: r, backend: n.current.Load(), class: classOf(r.Header), cancel: func() {}}
 	s.earlyResponse = earlyResponse{w: w, r: r}
 	defer s.end()
@@ -127,7 +131,7 @@
 	waiter := s.waiter()
 	if s.awaitsContinue {
 		if err := s.admitBody(waiter); err != nil {
-			s.refuseShed(err, waiter.Verdict == routing.ShedBusy)
+			s.refuseShed(err, waiter)
 			return
 		}
 	}
@@ -136,7 +140,7 @@
 		return
 	}
 	if err := s.backend.gate.acquire(s.ctx, n.config.Now, waiter); err != nil {
-		s.refuseShed(err, waiter.Verdict == routing.ShedBusy)
+		s.refuseShed(err, waiter)
 		return
 	}
 	defer func() { s.backend.gate.release(n.config.Now(), waiter) }()
@@ -180,6 +184,11 @@
 	if s.in, err = parseInput(s.r.Header, &hopProtocol); err != nil {
 		return badInput(err)
 	}
+	if protocol := &s.n.config.Protocol; !protocol.usesDaemonHeaders() {
+		if err = s.in.parseID(s.r.Header, protocol.RequestID); err != nil {
+			return badInput(err)
+		}
+	}
 	if s.route, err = parseRoute(s.r.Header); err != nil {
 		return badInput(err)
 	}
@@ -289,14 +298,18 @@
 	return fingerprint(s.r, s.in.key, s.source.prefix())
 }
 
-func (s *service) refuseShed(err error, senderRetries bool) {
+// refuseShed refuses a request for lack of capacity. The sender of a request with
+// an objective explains the refusal to the caller itself, so that the body, which
+// may cross failure domains, is omitted.
+func (s *service) refuseShed(err error, w *routing.Waiter) {
 	reason := "queue"
 	if fault.Is(err, fault.Timeout) {
 		reason = "deadline"
 	}
 	s.n.config.Metrics.countShed(string(s.class), reason)
 	refused := notRun(http.StatusServiceUnavailable, err)
-	refused.senderRetries = senderRetries
+	refused.senderRetries = w.Verdict == routing.ShedBusy
+	refused.noBody = !w.Objective.IsZero()
 	s.refuse(refused)
 }
 
@@ -318,15 +331,19 @@
 	load := strconv.AppendFloat(storage[:0], s.backend.gate.load(), 'f', loadDecimals, 64)
 	s.fields.set(s.w.Header(), LoadHeader, string(load))
 	if !s.n.config.Protocol.usesDaemonHeaders() {
-		s.fields.set(s.w.Header(), PaceHeader, strconv.FormatInt(s.backend.gate.pace().Milliseconds(), 10))
-		if pace := s.backend.gate.kindPace(s.route); pace > 0 {
-			s.fields.set(s.w.Header(), KindPaceHeader, strconv.FormatInt(max(1, pace.Milliseconds()), 10))
-		}
-		if load := s.n.config.Link; load != nil {
-			s.fields.set(s.w.Header(), LinkWaitHeader, strconv.FormatInt(load.EstimateWait(s.n.config.Now()).Milliseconds(), 10))
-		}
-		s.fields.set(s.w.Header(), FailuresHeader, strconv.FormatFloat(s.backend.failures.fraction(), 'f', loadDecimals, 64))
+		s.fields.set(s.w.Header(), ReportHeader, s.report().encode())
+	}
+}
+
+func (s *service) report() targetReport {
+	r := targetReport{pace: s.backend.gate.pace(), failures: s.backend.failures.fraction()}
+	if pace := s.backend.gate.kindPace(s.route); pace > 0 {
+		r.kindPace = max(pace, time.Millisecond)
+	}
+	if load := s.n.config.Link; load != nil {
+		r.linkWait = load.EstimateWait(s.n.config.Now())
 	}
+	return r
 }
 
 func (s *service) countFinished(outcome Outcome) {
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -175,21 +175,15 @@
 // recordTargetStats records the statistics that the daemon on the target's VM
 // reports.
 func (x *exchange) recordTargetStats(now time.Time, a *attempt) {
-	h := a.result.response.Header
-	pace, ok := parseNumericHeader(h, PaceHeader, 10, 32)
+	report, ok := parseReport(a.result.response.Header.Get(ReportHeader))
 	if !ok {
 		return
 	}
-	failures, err := strconv.ParseFloat(h.Get(FailuresHeader), 64)
-	if err != nil || failures < 0 || failures > 1 {
-		failures = 0
-	}
-	a.choice.Target.ReportPace(time.Duration(pace)*time.Millisecond, failures)
-	if kindPace, ok := parseNumericHeader(h, KindPaceHeader, 10, 32); ok {
-		a.choice.Target.ReportKindPace(now, x.route.Name, time.Duration(kindPace)*time.Millisecond)
-	}
-	if wait, ok := parseNumericHeader(h, LinkWaitHeader, 10, 32); ok {
-		a.choice.Target.ReportLink(time.Duration(wait) * time.Millisecond)
+	target := a.choice.Target
+	target.ReportPace(report.pace, report.failures)
+	target.ReportLink(report.linkWait)
+	if report.kindPace > 0 {
+		target.ReportKindPace(now, x.route.Name, report.kindPace)
 	}
 }
 
