--- a/internal/routing/mesh_load_test.go
+++ b/internal/routing/mesh_load_test.go
@@ -39,7 +39,8 @@
 	random   *rand.Rand
 	now      time.Time
 	daemons  []*loadDaemon
-	targets  map[string]*loadTarget
+	targets  []*loadTarget
+	byVM     map[string]*loadTarget
 	callers  []*loadRequest
 	outcomes map[string]*loadOutcome
 }
@@ -71,8 +72,8 @@
 
 // newMeshLoad returns a mesh with one target and daemonsPerDomain daemons in each
 // failure domain. The targets have 9 slots and the speeds.
-func newMeshLoad(daemonsPerDomain int, speeds ...float64) *meshLoad {
-	m := &meshLoad{random: rand.New(rand.NewPCG(3, 3)), now: start, targets: map[string]*loadTarget{}, outcomes: map[string]*loadOutcome{}}
+func newMeshLoad(seed uint64, daemonsPerDomain int, speeds ...float64) *meshLoad {
+	m := &meshLoad{random: rand.New(rand.NewPCG(seed, 3)), now: start, byVM: map[string]*loadTarget{}, outcomes: map[string]*loadOutcome{}}
 	state := model.NewState()
 	state.Services["order"] = &model.Service{Name: "order", Versions: []string{"v1"}, Shares: map[string]uint32{"v1": 100}}
 	state.Routes["all"] = &model.Route{Name: "all", PathPrefix: "/", Service: "order"}
@@ -81,12 +82,14 @@
 		e := endpoint(fmt.Sprintf("target-%d", i), "v1", fmt.Sprintf("domain-%d", i))
 		e.Target.Slots = 9
 		config.Endpoints = append(config.Endpoints, e)
-		m.targets[e.VM] = &loadTarget{admission: routing.NewAdmission(9), speed: speed}
+		target := &loadTarget{admission: routing.NewAdmission(9), speed: speed}
+		m.targets = append(m.targets, target)
+		m.byVM[e.VM] = target
 	}
 	for i := range daemonsPerDomain * len(speeds) {
 		table := routing.NewTable(config, routing.NewTargets())
 		m.daemons = append(m.daemons, &loadDaemon{
-			chooser: routing.NewChooser(fmt.Sprintf("domain-%d", i%len(speeds)), fmt.Sprintf("caller-%d", i), rand.New(rand.NewPCG(uint64(i), 9))),
+			chooser: routing.NewChooser(fmt.Sprintf("domain-%d", i%len(speeds)), fmt.Sprintf("caller-%d", i), rand.New(rand.NewPCG(seed, uint64(i)))),
 			route:   table.Match("", "/"),
 		})
 	}
@@ -136,7 +139,7 @@
 	for {
 		m.outcomes[r.kind.name].sends++
 		r.tried = append(r.tried, r.choice.Target)
-		target := m.targets[r.choice.Target.Endpoint.VM]
+		target := m.byVM[r.choice.Target.Endpoint.VM]
 		deadline := r.started.Add(r.kind.deadline)
 		r.waiter = &routing.Waiter{
 			Class: model.Normal, Kind: r.kind.name, Priority: r.kind.priority, Deadline: deadline,
@@ -242,21 +245,29 @@
 	return time.Duration(float64(k.work) * factor / target.speed)
 }
 
-// The load is 0.96 of the capacity of four targets, of which one is slow and one
+// The load is 1.25 times the capacity of four targets, of which one is slow and one
 // fast. Callers that are refused come back twice.
-var _ = Describe("a mesh that is nearly full", func() {
+var _ = Describe("a mesh short of room", func() {
+	const capacity, load = 240.0, 300.0
 	look := loadKind{
-		name: "look", rate: 230, work: 150 * time.Millisecond, spread: 0.8, objective: 400 * time.Millisecond,
+		name: "look", rate: load, work: 150 * time.Millisecond, spread: 0.8, objective: 400 * time.Millisecond,
 		deadline: 2500 * time.Millisecond, priority: 2, retries: 2,
 	}
 
-	// Guards against slots of slow targets that stay free while requests are
-	// refused, and against late requests that take the slots of those that can be in
-	// time. On a day with token sales, four targets used 31 of 36 slots, 12% of the
-	// look-ups were refused and 12% were late.
-	It("answers seven of eight requests in time and refuses two of a hundred at most", func() {
-		o := newMeshLoad(3, 0.5, 1, 1, 1.5).play(30*time.Second, look)["look"]
-		Expect(o.share(o.inTime)).To(BeNumerically(">", 7.0/8))
-		Expect(o.share(o.refused)).To(BeNumerically("<", 0.02))
+	// Guards against slots that stay free while requests are refused, and against
+	// refusals that ask every target again: on a day with token sales four targets used
+	// 31 of 36 slots and refused nine times for each request that they served, mostly
+	// to daemons in other failure domains.
+	It("serves what the capacity allows, with one message for each try of a caller", func() {
+		var sum loadOutcome
+		for seed := range uint64(8) {
+			o := newMeshLoad(seed, 3, 0.5, 1, 1, 1.5).play(30*time.Second, look)["look"]
+			sum.requests += o.requests
+			sum.inTime += o.inTime
+			sum.late += o.late
+			sum.sends += o.sends
+		}
+		Expect(sum.share(sum.inTime + sum.late)).To(BeNumerically(">", 0.97*capacity/load))
+		Expect(sum.share(sum.sends)).To(BeNumerically("<", float64(1+look.retries)))
 	})
 })
