--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -54,7 +54,7 @@
 	maxRequestIDBytes = 64
 	// maxDeadline bounds the remaining time that a caller may send.
 	maxDeadline = time.Hour
-	// loadDecimals is the number of decimals in LoadHeader and FailuresHeader.
+	// loadDecimals is the number of decimals in LoadHeader and ReportHeader.
 	loadDecimals = 3
 	// loadValueBytes is the size of the stack buffer for the value of LoadHeader.
 	// A longer value is allocated.
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -18,13 +18,17 @@
 	linkWait time.Duration
 }
 
-// reportFields is the number of fields of an encoded report.
-const reportFields = 4
+const (
+	// reportFields is the number of fields of an encoded report.
+	reportFields = 4
+	// reportBytes is enough for most encoded reports.
+	reportBytes = 24
+)
 
 // encode returns the value of ReportHeader: the times in milliseconds and the
 // fraction, separated by commas.
 func (r targetReport) encode() string {
-	b := make([]byte, 0, fieldValueCapacity)
+	b := make([]byte, 0, reportBytes)
 	for _, d := range []time.Duration{r.pace, r.kindPace, r.linkWait} {
 		b = strconv.AppendInt(b, d.Milliseconds(), 10)
 		b = append(b, ',')
--- a/internal/proxy/report_test.go
+++ b/internal/proxy/report_test.go
@@ -21,8 +21,8 @@
 		Expect(received).To(Equal(sent))
 	})
 
-	// Guards against a report of another daemon version or of a target that is
-	// taken for load, and then for a target's state.
+	// Guards against placement by a header that another version of the daemon or a
+	// target wrote.
 	DescribeTable("is ignored when it is malformed", func(value string) {
 		_, ok := parseReport(value)
 		Expect(ok).To(BeFalse())
