Remove the slots kept from late requests

Cause: with the reserve and without a place in the queue, late requests of urgent kinds were refused while less urgent ones were served.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -220,17 +220,11 @@
 	}
 	if load := s.n.config.Link; load != nil && s.r.ContentLength > 0 {
 		wait := load.EstimateWait(now)
-		due := w.Objective
-		if !now.Before(due) {
-			due = w.Deadline
-			// Once the link has carried the body, a late response is still useful.
-			w.UsefulUntil = w.Deadline
-		}
 		switch {
 		case w.Patience >= 0 && wait > maxLinkWait:
 			w.Verdict = routing.ShedBusy
 			return fault.New(fault.Overloaded, "the VM's link is busy for %d ms", wait.Milliseconds())
-		case !w.Objective.IsZero() && now.Add(wait+load.TransferTime(s.r.ContentLength)).After(due):
+		case !w.Objective.IsZero() && now.Add(wait+load.TransferTime(s.r.ContentLength)).After(w.Objective):
 			w.Verdict = routing.ShedObjective
 			return fault.New(fault.Overloaded, "the body cannot come in time over the VM's link, which is busy for %d ms", wait.Milliseconds())
 		}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -185,10 +185,12 @@
 	cancel        context.CancelFunc
 	deadline      time.Time
 	tried         []*routing.Target
-	// stats is set for routes with an objective. Then objective is the time by
-	// which the caller wants the response.
-	stats     *routeStats
-	objective time.Time
+	// stats is set for routes with an objective. Then objective is the time
+	// until which the response is useful; pastObjective reports that the
+	// route's objective has already passed, so that objective is the deadline.
+	stats         *routeStats
+	objective     time.Time
+	pastObjective bool
 	// maxWait is the longest queue wait that the next attempt accepts at its
 	// target.
 	maxWait time.Duration
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -80,6 +80,10 @@
 		elapsed = time.Duration(x.stats.longestDeadline.Load()) - x.in.remaining
 	}
 	x.objective = x.started.Add(x.route.Objective - elapsed)
+	x.pastObjective = !x.started.Before(x.objective)
+	if x.pastObjective {
+		x.objective = x.deadline
+	}
 }
 
 func (x *exchange) placement() routing.Placement {
@@ -89,7 +93,7 @@
 
 // runWithObjective sends the request to targets until one accepts it.
 func (x *exchange) runWithObjective() {
-	search := routing.Search{Route: x.route, Placement: x.placement(), Due: x.objective}
+	search := routing.Search{Route: x.route, Placement: x.placement(), Late: x.pastObjective}
 	choice, ok := x.chooseWith(func(now time.Time, c *routing.Chooser) (routing.Choice, bool) { return search.First(now, c) })
 	budget := x.snapshot.budgets[choice.Service.Name]
 	budget.CountRequest(x.o.config.Now())
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -83,7 +83,7 @@
 // lower class or priority in favor of the new request.
 func (a *Admission) Arrive(now time.Time, w *Waiter) []*Waiter {
 	a.setLatestStart(w)
-	if a.mayStart(now, w) {
+	if a.hasFreeSlot(w.Class) && a.queue.countAhead(w) == 0 {
 		a.admit(now, w)
 		return nil
 	}
@@ -108,7 +108,7 @@
 // queue. It does not consider waiters that Arrive would drop.
 func (a *Admission) Preview(now time.Time, w *Waiter) Verdict {
 	a.setLatestStart(w)
-	if a.mayStart(now, w) {
+	if a.hasFreeSlot(w.Class) && a.queue.countAhead(w) == 0 {
 		return Admitted
 	}
 	if verdict := a.shedVerdict(now, w); verdict != Waiting {
@@ -127,18 +127,6 @@
 	}
 }
 
-// mayStart reports whether a new request gets a slot at once. One that will miss
-// its objective leaves lateReserve slots to those that can meet theirs.
-func (a *Admission) mayStart(now time.Time, w *Waiter) bool {
-	if !a.hasFreeSlot(w.Class) || a.queue.countAhead(w) > 0 {
-		return false
-	}
-	if w.Objective.IsZero() || !now.Add(a.holdTimes.expected(w)).After(w.usefulUntil()) {
-		return true
-	}
-	return float64(a.inUse)+lateReserve(float64(a.slots)) < float64(a.slots)
-}
-
 // queueLimit returns the maximum queue length for the request. An objective
 // bounds the wait by itself, so that short requests in the queue need not keep
 // a long one out.
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -1,31 +1,23 @@
 package routing
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// probeMaxWait is the longest queue wait that a request accepts at a target
 	// while there are others to try. Trying another daemon takes a few
 	// milliseconds.
 	probeMaxWait = 5 * time.Millisecond
+	// lateMaxWait is the longest queue wait that a request accepts after its
+	// objective has passed. A longer wait would keep its caller from retrying.
+	lateMaxWait = 60 * time.Millisecond
 	// UnboundedWait accepts any queue wait within the objective.
 	UnboundedWait = time.Duration(-1)
 	// maxProbed is the number of targets that are tried for a free slot.
 	maxProbed = 3
 	// maxSends bounds the targets that one request is sent to.
 	maxSends = 6
-	// lateReserveFraction is the fraction of the slots that requests do not get
-	// when they will miss their objective. While a target is short of slots, each
-	// of these requests would make another one miss its objective too.
-	lateReserveFraction = 0.1
 )
 
-// lateReserve returns the number of slots that are kept for requests that can
-// meet their objective.
-func lateReserve(slots float64) float64 { return math.Round(lateReserveFraction * slots) }
-
 // Search looks for a target that takes one request with an objective. The
 // request asks up to maxProbed targets for a free slot and queues at the one that
 // should respond first: at the end, or at once when that one is known to be full.
@@ -33,8 +25,8 @@
 type Search struct {
 	Route     *Route
 	Placement Placement
-	// Due is the time by which the caller wants the response.
-	Due time.Time
+	// Late reports that the objective has passed.
+	Late bool
 
 	// queueing reports that the request queues at the current choice.
 	queueing bool
@@ -52,13 +44,7 @@
 	if !ok {
 		return choice, false
 	}
-	full := !s.mayHaveSlot(now, choice.Target)
-	if full && s.late(now, choice.Target) {
-		if free, ok := s.placeFree(now, c, choice.Version, nil); ok {
-			choice, full = free, false
-		}
-	}
-	return s.send(c, choice, full || len(choice.Version.Targets) == 1), true
+	return s.send(c, choice, len(choice.Version.Targets) == 1 || !choice.Target.MayHaveSlot(now)), true
 }
 
 // Next chooses the next target after the request did not run at the last one.
@@ -98,9 +84,11 @@
 	s.sends++
 	s.queueing = queueing
 	switch {
+	case queueing && s.Late:
+		s.maxWait = lateMaxWait
 	case queueing:
 		s.maxWait = UnboundedWait
-	case choice.Target.Endpoint.Domain == c.domain:
+	case choice.Target.Endpoint.Domain == c.domain && !s.Late:
 		s.maxWait = max(probeMaxWait, s.Placement.crossDomainCost())
 	default:
 		s.maxWait = probeMaxWait
@@ -111,21 +99,6 @@
 // placeFree chooses the untried target of the version with the lowest expected
 // cost among those that may have a slot.
 func (s *Search) placeFree(now time.Time, c *Chooser, v *Version, tried []*Target) (Choice, bool) {
-	target := c.cheapestWith(now, v, tried, s.Placement, func(t *Target) bool { return s.mayHaveSlot(now, t) })
+	target := c.cheapestWith(now, v, tried, s.Placement, func(t *Target) bool { return t.MayHaveSlot(now) })
 	return Choice{Service: v.service, Version: v, Target: target}, target != nil
 }
-
-// mayHaveSlot reports whether the target may have a slot for the request: false
-// only when it has recently reported that it has none.
-func (s *Search) mayHaveSlot(now time.Time, t *Target) bool {
-	if s.late(now, t) {
-		return t.MayHaveSlot(now, lateReserve(t.slots()))
-	}
-	return t.MayHaveSlot(now, 0)
-}
-
-// late reports whether the request will miss its objective even if it gets a
-// slot of the target now.
-func (s *Search) late(now time.Time, t *Target) bool {
-	return now.Add(t.counters.kindPaces.current(now, s.Placement.Kind)).After(s.Due)
-}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -182,10 +182,10 @@
 	return math.Float64frombits(t.counters.load.Load()), t.reportAge(now)
 }
 
-// MayHaveSlot reports whether the target may have a free slot besides the reserved
-// ones: false only when it has recently reported that it has none.
-func (t *Target) MayHaveSlot(now time.Time, reserved float64) bool {
-	return t.reportAge(now) >= maxFullReportAge || t.occupancy(now)*t.slots()+reserved < t.slots()
+// MayHaveSlot reports whether the target may have a free slot: false only when it
+// has recently reported that it has none.
+func (t *Target) MayHaveSlot(now time.Time) bool {
+	return t.reportAge(now) >= maxFullReportAge || t.occupancy(now) < 1
 }
 
 // occupancy estimates the fraction of the slots in use: the last reported load,
