Serve requests that arrive while a daemon stops

Cause of the cut requests around planned stops: http.Server.Shutdown. Requests that the server reads once Shutdown has begun are dropped without a response (net/http, conn.serve: "if c.server.shuttingDown() return"), idle connections are closed although the kernel may hold a request on them, and closing the listener resets the connections that have not been accepted.

Change: internal/shutdown stops a server in another order. It waits until the backlog is accepted, closes the listener, closes idle connections without unread bytes, serves what has arrived, and marks the server as shut down last. The daemon and the sidecar use it.

The spec with a held reader fails with http.Server.Shutdown. An earlier try that let http.Server close idle connections by itself (SetKeepAlivesEnabled) hung, because the server also closes in the idle state after its last response; it was not kept.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/admin"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
+	"github.com/magnoliamount/magnoliamount/internal/shutdown"
 )
 
 const (
@@ -33,6 +34,8 @@
 	name     string
 	http     *http.Server
 	listener net.Listener
+	// tcp is the listener without TLS.
+	tcp *shutdown.Listener
 }
 
 // listen binds the addresses, so that an address in use is reported at startup.
@@ -55,11 +58,12 @@
 		server  *server
 		address string
 	}{{&s.caller, d.settings.Listen.Caller}, {&s.inbound, d.settings.Listen.Inbound}, {&s.admin, d.settings.Listen.Admin}} {
-		listener, err := net.Listen("tcp", bind.address)
+		listener, err := shutdown.Listen(bind.address)
 		if err != nil {
 			return fault.Wrap(err, fault.Invalid, "cannot listen on %s for %s", bind.address, bind.server.name)
 		}
-		bind.server.listener = listener
+		bind.server.listener, bind.server.tcp = listener, listener
+		shutdown.TrackState(bind.server.http)
 	}
 	return s.enableAdminTLS(d)
 }
@@ -112,8 +116,8 @@
 	failures := make(chan error, 2)
 	for _, srv := range []*server{&s.caller, &s.inbound} {
 		group.Go(func() {
-			if err := srv.http.Shutdown(ctx); err != nil {
-				failures <- fault.Wrap(err, fault.Timeout, "listener %s still had requests in flight", srv.name)
+			if err := srv.tcp.Shutdown(ctx, srv.http); err != nil {
+				failures <- fault.Wrap(err, fault.Timeout, "stop listener %s", srv.name)
 			}
 		})
 	}
--- /dev/null
+++ b/internal/shutdown/listener_test.go
@@ -0,0 +1,145 @@
+package shutdown_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/shutdown"
+)
+
+func TestShutdown(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shutdown")
+}
+
+// testTimeout is much longer than any step takes on a busy machine.
+const testTimeout = 10 * time.Second
+
+const request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
+
+// heldConn is a connection whose reader does not run while held, as on a machine
+// without a free processor.
+type heldConn struct {
+	net.Conn
+	hold <-chan struct{}
+}
+
+func (c *heldConn) NetConn() net.Conn { return c.Conn }
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	<-c.hold
+	return n, err
+}
+
+type heldListener struct {
+	net.Listener
+	hold <-chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{Conn: c, hold: l.hold}, nil
+}
+
+var _ = Describe("the shutdown of an HTTP server", func() {
+	var (
+		listener *shutdown.Listener
+		server   *http.Server
+		hold     chan struct{}
+		client   net.Conn
+		stopping *atomic.Bool
+	)
+
+	BeforeEach(func() {
+		var err error
+		listener, err = shutdown.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		stopping = &atomic.Bool{}
+		hold = make(chan struct{}, 100)
+		server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if stopping.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			_, _ = io.WriteString(w, "served")
+		})}
+		shutdown.TrackState(server)
+		go func() { _ = server.Serve(&heldListener{Listener: listener, hold: hold}) }()
+		DeferCleanup(server.Close)
+		client, err = net.DialTimeout("tcp", listener.Addr().String(), testTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = client.Close() })
+		Expect(client.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
+	})
+
+	// exchangeOne makes the connection idle after a response.
+	exchangeOne := func() {
+		hold <- struct{}{}
+		// The server reads in the background while the handler runs.
+		hold <- struct{}{}
+		_, err := io.WriteString(client, request)
+		Expect(err).NotTo(HaveOccurred())
+		buffer := make([]byte, 1024)
+		n, err := client.Read(buffer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(buffer[:n])).To(HaveSuffix("served"))
+	}
+
+	stop := func() chan error {
+		stopping.Store(true)
+		stopped := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			stopped <- listener.Shutdown(ctx, server)
+		}()
+		return stopped
+	}
+
+	// Guards against requests that end with EOF or a reset: the server closed a
+	// connection as idle while the kernel held a request on it.
+	It("serves a request that has arrived on an idle connection", func() {
+		exchangeOne()
+		_, err := io.WriteString(client, request)
+		Expect(err).NotTo(HaveOccurred())
+		stopped := stop()
+		Consistently(stopped, 100*time.Millisecond).ShouldNot(Receive())
+		close(hold)
+		response, err := io.ReadAll(client)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(response)).To(And(HaveSuffix("served"), ContainSubstring("Connection: close")))
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+
+	It("closes idle connections without a request", func() {
+		exchangeOne()
+		close(hold)
+		Eventually(stop(), testTimeout).Should(Receive(Succeed()))
+		_, err := client.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	// Guards against a shutdown that waits for a connection whose request never
+	// comes: its client sent a part of the header and left.
+	It("closes a connection whose client leaves within a request", func() {
+		exchangeOne()
+		_, err := io.WriteString(client, request[:2])
+		Expect(err).NotTo(HaveOccurred())
+		stopped := stop()
+		Consistently(stopped, 100*time.Millisecond).ShouldNot(Receive())
+		Expect(client.Close()).To(Succeed())
+		close(hold)
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+})
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
+	"github.com/magnoliamount/magnoliamount/internal/shutdown"
 )
 
 const (
@@ -30,6 +31,8 @@
 	name     string
 	http     *http.Server
 	listener net.Listener
+	// tcp is the listener without the count of bytes.
+	tcp *shutdown.Listener
 	// carriesRequests is true when the listener accepts requests of callers,
 	// directly or from other daemons. These listeners are shut down first.
 	carriesRequests bool
@@ -72,6 +75,9 @@
 	link *routing.LinkLoad
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *meteredConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -112,16 +118,18 @@
 
 // add binds an address and adds its server.
 func (s *servers) add(name, address string, handler http.Handler, carriesRequests bool) error {
-	listener, err := net.Listen("tcp", address)
+	tcp, err := shutdown.Listen(address)
 	if err != nil {
 		return listenError(err, name, address)
 	}
+	srv := &server{name: name, listener: tcp, tcp: tcp, carriesRequests: carriesRequests, http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
 	if carriesRequests && s.link != nil {
-		listener = &meteredListener{Listener: listener, link: s.link}
+		srv.listener = &meteredListener{Listener: tcp, link: s.link}
 	}
-	s.all = append(s.all, &server{name: name, listener: listener, carriesRequests: carriesRequests, http: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}})
+	shutdown.TrackState(srv.http)
+	s.all = append(s.all, srv)
 	return nil
 }
 
@@ -157,8 +165,8 @@
 			continue
 		}
 		group.Go(func() {
-			if err := srv.http.Shutdown(ctx); err != nil {
-				failures <- fault.Wrap(err, fault.Timeout, "listener %s still had requests in flight", srv.name)
+			if err := srv.tcp.Shutdown(ctx, srv.http); err != nil {
+				failures <- fault.Wrap(err, fault.Timeout, "stop listener %s", srv.name)
 			}
 		})
 	}
