Serve calls of servers first within a priority

A look-up is due 120 ms after its arrival, a sale 500 ms; in the order of latest starts a look-up goes behind each sale that has waited for 260 ms.

Change: within a class and priority, calls of servers go before other requests. Waiter.ServerCall takes the place of UsefulUntil, which was the deadline for calls and zero for others.

The spec fails without the order: a call waits for 62 ms on average, 25 ms with it.

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -223,9 +223,7 @@
 	}
 	w.Kind = s.route
 	w.Objective = s.n.config.Now().Add(time.Duration(objective) * time.Millisecond)
-	if s.isServerCall() {
-		w.UsefulUntil = s.deadline
-	}
+	w.ServerCall = s.isServerCall()
 	if priority, ok := parseNumericHeader(s.r.Header, PriorityHeader, 10, 32); ok {
 		w.Priority = uint32(priority)
 	}
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -49,9 +49,9 @@
 	// Objective is the time by which the caller wants the response; zero means
 	// that the caller has not set one.
 	Objective time.Time
-	// UsefulUntil is the time until which the response is still useful after
-	// the objective has passed; zero means until the objective.
-	UsefulUntil time.Time
+	// ServerCall is true when a server sent the request on behalf of another one,
+	// which fails unless it gets the response before the deadline.
+	ServerCall bool
 	// Patience is the longest time in the queue that the sender accepts at this
 	// target, since it can try other daemons; a negative value means no bound.
 	Patience time.Duration
@@ -156,8 +156,8 @@
 // usefulUntil returns the time until which the response is useful. It has no
 // meaning for a request without an objective.
 func (w *Waiter) usefulUntil() time.Time {
-	if w.UsefulUntil.After(w.Objective) {
-		return w.UsefulUntil
+	if w.ServerCall {
+		return w.Deadline
 	}
 	return w.Objective
 }
--- a/internal/routing/overload_test.go
+++ b/internal/routing/overload_test.go
@@ -18,8 +18,8 @@
 	work      time.Duration
 	objective time.Duration
 	priority  uint32
-	// latest is how long after its arrival a response is useful; zero means
-	// until the objective.
+	// latest is how long after its arrival a response to a call of a server is
+	// useful; zero means that clients send the kind.
 	latest time.Duration
 }
 
@@ -28,8 +28,11 @@
 func (k kind) usefulFor() time.Duration { return max(k.objective, k.latest) }
 
 // outcome counts the requests of a kind, those with a response in time, and
-// those that were shed.
-type outcome struct{ requests, inTime, refused int }
+// those that were shed. waited is how long the admitted ones waited in total.
+type outcome struct {
+	requests, inTime, refused int
+	waited                    time.Duration
+}
 
 // simulate sends requests of the kinds to one target for ten seconds and returns
 // the outcomes by kind. It is deterministic.
@@ -38,10 +41,11 @@
 	admission := routing.NewAdmission(slots)
 	results := map[string]outcome{}
 	type running struct {
-		w   *routing.Waiter
-		k   kind
-		end time.Time
-		due time.Time
+		w       *routing.Waiter
+		k       kind
+		arrived time.Time
+		end     time.Time
+		due     time.Time
 	}
 	var active []running
 	waiting := map[*routing.Waiter]running{}
@@ -49,13 +53,14 @@
 		for _, w := range changed {
 			r := waiting[w]
 			delete(waiting, w)
+			o := results[r.k.name]
 			if w.Verdict == routing.Admitted {
 				r.end = now.Add(r.k.work)
 				active = append(active, r)
-				continue
+				o.waited += now.Sub(r.arrived)
+			} else {
+				o.refused++
 			}
-			o := results[r.k.name]
-			o.refused++
 			results[r.k.name] = o
 		}
 	}
@@ -80,9 +85,9 @@
 			w := &routing.Waiter{Class: model.Normal, Deadline: now.Add(max(3*k.objective, k.latest)), Patience: -1}
 			if withObjectives {
 				w.Kind, w.Priority, w.Objective = k.name, k.priority, now.Add(k.objective)
-				w.UsefulUntil = now.Add(k.latest)
+				w.ServerCall = k.latest > 0
 			}
-			r := running{w: w, k: k, due: now.Add(k.usefulFor())}
+			r := running{w: w, k: k, arrived: now, due: now.Add(k.usefulFor())}
 			o := results[k.name]
 			o.requests++
 			results[k.name] = o
@@ -159,4 +164,18 @@
 		Expect(kept["check"].share()).To(BeNumerically(">", 0.97))
 		Expect(kept["upload"].share()).To(BeNumerically(">", 0.8))
 	})
+
+	// Guards against calls of servers that wait behind long requests whose objective
+	// allows a wait: on a day with token sales each look-up of prices waited for 47 ms of
+	// 79 ms, and the balance checks that made them held 28% more slots of their own
+	// service meanwhile. A call should wait for less time than it works.
+	It("serves calls of servers before requests that can wait", func() {
+		results := simulate(9, []kind{
+			{"price", 150, 30 * time.Millisecond, 120 * time.Millisecond, 1, 400 * time.Millisecond},
+			{"sale", 40, 150 * time.Millisecond, 500 * time.Millisecond, 1, 0},
+		}, true)
+		price := results["price"]
+		Expect(price.waited).To(BeNumerically("<", time.Duration(price.requests)*30*time.Millisecond))
+		Expect(results["sale"].share()).To(BeNumerically(">", 0.6), "the room that is left is 0.75 of the sales")
+	})
 })
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -49,11 +49,15 @@
 }
 
 // goesBefore reports whether a new waiter goes before another of its class: by
-// priority, then by the latest start. In the order of objectives, short requests
-// starve long ones, which need their slot well before their objective.
+// priority, then calls of servers, then by the latest start. A call that waits keeps
+// a slot of another target in use. In the order of objectives, short requests starve
+// long ones, which need their slot well before their objective.
 func goesBefore(w, other *Waiter) bool {
-	if w.Priority != other.Priority {
+	switch {
+	case w.Priority != other.Priority:
 		return w.Priority < other.Priority
+	case w.ServerCall != other.ServerCall:
+		return w.ServerCall
 	}
 	return !w.Objective.IsZero() && (other.Objective.IsZero() || w.latestStart.Before(other.latestStart))
 }
