Count an objective from the first attempt of the same request

Cause: callers tell how long they still wait, and the daemon took the longest such time of a route, less the one of the request, for the time since the caller's first attempt.

Change: routing.Arrivals remembers the content and the deadline of each request until the deadline passes. A caller that returns sends the same request with the same deadline; its objective counts from the first attempt. All others have their whole objective.

--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -23,7 +23,9 @@
 	config  OutboundConfig
 	targets *routing.Targets
 	strikes *routing.Strikes
-	current atomic.Pointer[snapshot]
+	// arrivals tells when the request of a returning caller first arrived.
+	arrivals *routing.Arrivals
+	current  atomic.Pointer[snapshot]
 	// stats maps each route's name to its *routeStats.
 	stats sync.Map
 	// notReadyReason is the reason why requests are refused, or nil.
@@ -59,10 +61,11 @@
 		config.Random = rand.New(rand.NewPCG(0, 0))
 	}
 	o := &Outbound{
-		config:  config,
-		targets: routing.NewTargets(),
-		strikes: routing.NewStrikes(),
-		chooser: routing.NewChooser(config.Domain, config.VM, config.Random),
+		config:   config,
+		targets:  routing.NewTargets(),
+		strikes:  routing.NewStrikes(),
+		arrivals: routing.NewArrivals(),
+		chooser:  routing.NewChooser(config.Domain, config.VM, config.Random),
 	}
 	budgetLimits := routing.DefaultBudgetLimits(config.RetryPercent)
 	o.budgetLimits.Store(&budgetLimits)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -36,22 +36,10 @@
 
 // routeStats holds statistics of a route's requests.
 type routeStats struct {
-	// longestDeadline is the longest time that callers allowed, in nanoseconds.
-	// A retrying caller sends what is left of it.
-	longestDeadline atomic.Int64
 	// meanResponseBytes is the moving average of the response size.
 	meanResponseBytes atomic.Int64
 }
 
-func (s *routeStats) recordDeadline(d time.Duration) {
-	for {
-		old := s.longestDeadline.Load()
-		if int64(d) <= old || s.longestDeadline.CompareAndSwap(old, int64(d)) {
-			return
-		}
-	}
-}
-
 func (s *routeStats) recordResponseSize(length int64) {
 	old := s.meanResponseBytes.Load()
 	s.meanResponseBytes.Store(old + int64(sizeSmoothingFactor*float64(length-old)))
@@ -67,19 +55,17 @@
 }
 
 // setObjective computes the time until which the caller wants its response. The
-// objective counts from the caller's first attempt; a deadline shorter than the
-// longest one shows how long ago that was.
+// objective counts from the caller's first attempt.
 func (x *exchange) setObjective() {
 	if !x.o.config.Protocol.verifiesResponses() || x.route.Objective <= 0 {
 		return
 	}
 	x.stats = x.o.statsOf(x.route.Name)
-	var elapsed time.Duration
+	first := x.started
 	if x.in.hasDeadline {
-		x.stats.recordDeadline(x.in.remaining)
-		elapsed = time.Duration(x.stats.longestDeadline.Load()) - x.in.remaining
+		first = x.o.arrivals.First(x.started, fingerprint(x.r, x.route.Name, nil), x.started.Add(x.in.remaining))
 	}
-	x.objective = x.started.Add(x.route.Objective - elapsed)
+	x.objective = first.Add(x.route.Objective)
 	x.pastObjective = !x.started.Before(x.objective)
 	if x.pastObjective {
 		x.objective = x.deadline
