Let the target of a stopping daemon serve until a second before its listeners close

Cause: a stopping daemon told callers and other daemons at the same moment that it leaves, 2.5 s before its listeners close. Callers need that time, since they check readiness once a second.

Change: the daemon reports its target as draining, and closes the connections of other daemons, only in the last second of the notice.

The spec fails without the change: the row of the target is "draining" at once.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -41,6 +41,10 @@
 	// request, so that callers, which check readiness once a second, get two
 	// negative responses.
 	DefaultStopNotice = 2500 * time.Millisecond
+	// leaveNotice is the end of StopNotice in which other daemons learn that they
+	// should send no more requests to the target. A row reaches them within a few
+	// hundred milliseconds.
+	leaveNotice = time.Second
 	// stopMargin is the part of the grace period that is left for the exit of the
 	// process.
 	stopMargin = 500 * time.Millisecond
@@ -110,8 +114,12 @@
 	operatorsLoaded bool
 	meshLoaded      bool
 	ready           atomic.Bool
-	stopping        atomic.Bool
-	peerClient      *http.Client
+	// stopping is true from the stop request on, so that callers leave. leaving is
+	// true from leaveNotice before the listeners close on, so that other daemons send
+	// no more requests.
+	stopping   atomic.Bool
+	leaving    atomic.Bool
+	peerClient *http.Client
 }
 
 // Run runs a daemon until ctx ends and then shuts it down gracefully. It fails
@@ -339,15 +347,18 @@
 	d.inbound.SetTarget(d.target.target(d.config.TargetAddress, connections))
 }
 
-// stop shuts the daemon down: it reports that it is draining to callers and
-// other daemons, waits for StopNotice, closes the request listeners and waits
-// for the requests in flight.
+// stop shuts the daemon down: it reports that it is draining to callers, and later
+// to other daemons, so that its target serves meanwhile. StopNotice after the
+// request it closes the request listeners and waits for the requests in flight.
 func (d *Daemon) stop() error {
 	d.logger.Info().Str("event", "daemon-stopping").Msg("draining before shutdown")
 	d.stopping.Store(true)
 	stopRequested := time.Now()
+	lastNotice := min(d.config.StopNotice, leaveNotice)
+	time.Sleep(d.config.StopNotice - lastNotice)
+	d.leaving.Store(true)
 	d.loop.call(func(time.Time) { d.targetRow.update() })
-	time.Sleep(d.config.StopNotice)
+	time.Sleep(lastNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), stopRequested.Add(d.config.Grace-stopMargin))
 	defer cancel()
 	err := d.servers.shutdown(ctx)
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -102,7 +102,7 @@
 	if err := s.add("caller", d.config.Caller, proxy.CloseWhile(d.stopping.Load, d.outbound), true); err != nil {
 		return err
 	}
-	if err := s.add("inbound", d.config.Inbound, proxy.CloseWhile(d.stopping.Load, inbound), true); err != nil {
+	if err := s.add("inbound", d.config.Inbound, proxy.CloseWhile(d.leaving.Load, inbound), true); err != nil {
 		return err
 	}
 	if err := s.add("peer", d.config.Peer, peer, false); err != nil {
--- a/internal/sidecar/target_row.go
+++ b/internal/sidecar/target_row.go
@@ -100,7 +100,7 @@
 		record.ColdMS = max(0, time.Until(t.warmAt).Milliseconds())
 	}
 	switch {
-	case t.state == member.Ready && !d.stopping.Load():
+	case t.state == member.Ready && !d.leaving.Load():
 		record.State = "ready"
 	case t.state != 0:
 		record.State = "draining"
