Compare a new version with few failed requests of the old one

While the old version has fewer than 20 requests on a route, the judge compared the new version with a rate of 5%, so a handful of failures was enough: "error rate 100.0% against 100.0% of the old version".

Change: few requests of the old version are combined with that rate, which has the weight of 20 requests, and the result applies when it is higher. A version that fails where the old one does not is judged as before.

Ruled out: routing.

The spec fails without the change in its first seed.

--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -59,6 +59,29 @@
 		Entry("overload", behaviour{errorRate: 0.05, meanLatency: 2 * time.Second}),
 	)
 
+	// Guards against taking back a good version for a route that fails with both
+	// versions: on a day with a shortage a test route got about one request a second, each
+	// of which failed. Few requests of the old version counted as none, so a handful of
+	// failures of the new one was compared with a rate of 5%.
+	It("accepts a version whose failures on an idle route are those of the old one", func() {
+		for seed := range uint64(100) {
+			rng := rand.New(rand.NewPCG(seed, 4))
+			j := move.NewSequentialJudge(move.FalseAlarmBound)
+			failing := behaviour{errorRate: 1, meanLatency: 20 * time.Millisecond}
+			for i := range 60 {
+				// A move begins with small steps, so that the old version gets the first requests.
+				permille := uint32(10)
+				if i >= 20 {
+					permille = 500
+				}
+				toNew := rng.Uint32N(move.FullProgress) < permille
+				samples := []move.Sample{randomSample(rng, sampleKey("test", toNew), rng.IntN(2), failing)}
+				j.Observe(start.Add(time.Duration(i+1)*move.SampleInterval), move.Stage{Permille: permille, Targets: eightTargets}, samples)
+				Expect(j.Verdict().Bad).To(BeFalse(), "seed %d: %s", seed, j.Verdict().Reason)
+			}
+		}
+	})
+
 	// Guards against missing any kind of fault, at the start and after a long time
 	// without faults.
 	DescribeTable("rejects a bad version",
--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -20,12 +20,13 @@
 	historyDecay = 0.98
 	// maxNullRate is the highest rate of the null hypothesis, below certainty.
 	maxNullRate = 0.9
-	// minOldRequests is the number of requests of the old version below which no
-	// rate is estimated from them. It is also the weight of that estimate against
-	// the old version's requests of the interval alone.
+	// minOldRequests is the number of requests of the old version below which their
+	// rate is combined with defaultNullRate, which then has the weight of as many
+	// requests. It is also the weight of the estimated rate against the old version's
+	// requests of the interval alone.
 	minOldRequests = 20
-	// defaultNullRate is the rate of the null hypothesis while there are fewer than
-	// minOldRequests requests of the old version.
+	// defaultNullRate is the lowest rate of the null hypothesis while there are fewer
+	// than minOldRequests requests of the old version.
 	defaultNullRate = 0.05
 	// blockRequests is the least number of requests in a block of the old version's
 	// history.
@@ -150,7 +151,9 @@
 	hits := in.oldHits + scale*m.priorHits
 	total := in.oldTotal + scale*m.priorTotal
 	if total < minOldRequests {
-		return math.Min(defaultNullRate+in.coldAllowance, maxNullRate)
+		// Few requests do not establish a low rate, but may show a high one.
+		rate := (hits + minOldRequests*defaultNullRate) / (total + minOldRequests)
+		return math.Min(math.Max(defaultNullRate, m.normal.ratio*rate+m.normal.margin)+in.coldAllowance, maxNullRate)
 	}
 	rate := (hits + 0.1) / (total + 1)
 	rate += math.Sqrt(rate * (1 - rate) / (total + 1))
