Prove a version in time for the steps that follow

Cause: without sufficient evidence a version counts as proved at 65% of the window.

Change: the version counts as proved no later than the time from which the steps fit before the finish with a second to spare. Long windows are not affected.

--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/model"
@@ -138,13 +139,20 @@
 	return at
 }
 
+// latestProof returns the time at which the steps above ProvingPermille have to begin
+// for the move to finish in time.
+func (s schedule) latestProof() time.Time {
+	left := len(steps) - 1 - slices.Index(steps, ProvingPermille)
+	return s.finish.Add(-minFinishMargin - time.Duration(left+1)*s.dwell())
+}
+
 // allowedLLR returns the highest RegressionLLR at which a version counts as
 // proved. It rises as the finish approaches, because a route with little traffic
 // cannot provide enough evidence in time.
 func (s schedule) allowedLLR(now time.Time) float64 {
 	f := float64(now.Sub(s.accepted)) / float64(s.window())
 	switch {
-	case f >= s.pace.forceFrom:
+	case f >= s.pace.forceFrom, !now.Before(s.latestProof()):
 		return refusedLLR
 	case f <= s.pace.relaxFrom:
 		return s.pace.provedLLR
