--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -22,7 +22,7 @@
 
 const (
 	// pollInterval is the interval at which Shutdown checks the connections.
-	pollInterval = time.Millisecond
+	pollInterval = 5 * time.Millisecond
 	// maxBacklogWait bounds the wait for the server to accept the connections that
 	// clients have opened. New ones may keep coming.
 	maxBacklogWait = 200 * time.Millisecond
@@ -94,12 +94,15 @@
 	l.stopping.Store(true)
 	acceptUntil := time.Now().Add(maxBacklogWait)
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || time.Now().After(acceptUntil) })
-	_ = l.TCPListener.Close()
+	closed := l.TCPListener.Close()
 	closeNewFrom := time.Now().Add(firstRequestWait)
 	waitUntil(ctx, func() bool { return l.closeUnused(time.Now().After(closeNewFrom)) == 0 })
 	if err := server.Shutdown(ctx); err != nil {
 		return fault.Wrap(err, fault.Timeout, "requests are still in flight")
 	}
+	if closed != nil {
+		return fault.Wrap(closed, fault.Internal, "close the listener")
+	}
 	return nil
 }
 
