--- a/test/integration/tickets_test.go
+++ b/test/integration/tickets_test.go
@@ -133,13 +133,19 @@
 		return ok && current.State != "open"
 	})
 	w.logf("ticket %d is %s %s", number, status.State, status.Reason)
-	w.Expect(status.State).To(gomega.Equal(state), status.Reason)
+	w.Expect(status.State).To(gomega.Equal(state), "%s", status.Reason)
 }
 
 // waitProgress waits until a move has reached the progress, in permille.
 func (w *world) waitProgress(number uint64, permille uint32) {
+	seen := ""
 	w.waitUntil(fmt.Sprintf("ticket %d is at %d permille", number, permille), outcomeTimeout, func() bool {
 		status, ok := w.ticket(number)
+		// A move that does not advance has to be traced from these lines.
+		if text := fmt.Sprintf("readable %t, %s at %d permille %s", ok, status.State, status.Progress, status.Reason); text != seen {
+			seen = text
+			w.logf("ticket %d: %s", number, text)
+		}
 		return ok && status.Progress >= permille
 	})
 	w.logf("ticket %d has reached %d permille", number, permille)
