--- a/internal/routing/arrivals.go
+++ b/internal/routing/arrivals.go
@@ -9,7 +9,9 @@
 	// maxArrivals bounds the number of requests that Arrivals remembers.
 	maxArrivals = 8192
 	// deadlineTolerance is how far the deadlines of two attempts of one request may
-	// lie apart. Callers round the time that is left, and the network delays it.
+	// lie apart. Callers round the time that is left, and the network delays it. Two
+	// callers with the same content and deadlines that are closer count as one, which
+	// shortens the second one's objective by less than twice the tolerance.
 	deadlineTolerance = 16 * time.Millisecond
 )
 
