--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -12,6 +12,8 @@
 	// loadSlowdown is the fraction of its pace by which a target slows down
 	// between idle and full. Some targets slow down when they are nearly full.
 	loadSlowdown = 0.25
+	// coldSlowdownFactor is the factor by which a cold target is slower.
+	coldSlowdownFactor = 2
 	// failureCost is the cost of a request that fails with certainty: the time
 	// in which another target would have responded.
 	failureCost = 500 * time.Millisecond
@@ -127,6 +129,10 @@
 // failures and of traffic between domains, expressed as times.
 func (e *costEstimator) cost(t *Target) time.Duration {
 	pace, kindPace := e.paces(t)
+	if t.warmUpFraction(e.now) < 1 {
+		pace *= coldSlowdownFactor
+		kindPace *= coldSlowdownFactor
+	}
 	busy := t.occupancy(e.now)
 	cost := float64(kindPace) * (1 + loadSlowdown*min(1, busy))
 	if excess := busy + 1/t.slots() - 1; excess > 0 {
