--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -35,6 +35,8 @@
 type Listener struct {
 	*net.TCPListener
 	stopping atomic.Bool
+	// close closes the listener at its first call and returns that result.
+	close func() error
 
 	mu sync.Mutex
 	// open holds the connections that are not closed.
@@ -47,9 +49,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: listener.(*net.TCPListener), open: map[*conn]struct{}{}}, nil
+	return &Listener{TCPListener: listener.(*net.TCPListener), close: sync.OnceValue(listener.Close), open: map[*conn]struct{}{}}, nil
 }
 
+// Close implements net.Listener. http.Server.Shutdown closes the listener again when
+// Serve has not returned yet, which is no error.
+func (l *Listener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.AcceptTCP()
@@ -94,7 +100,7 @@
 	l.stopping.Store(true)
 	acceptUntil := time.Now().Add(maxBacklogWait)
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || time.Now().After(acceptUntil) })
-	closed := l.TCPListener.Close()
+	closed := l.Close()
 	closeNewFrom := time.Now().Add(firstRequestWait)
 	waitUntil(ctx, func() bool { return l.closeUnused(time.Now().After(closeNewFrom)) == 0 })
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/shutdown/listener_test.go
+++ b/internal/shutdown/listener_test.go
@@ -142,4 +142,12 @@
 		close(hold)
 		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
 	})
+
+	// Guards against a shutdown that fails with "use of closed network connection", and a
+	// daemon that exits with status 1: the server closes the listener again when Serve has
+	// not returned yet.
+	It("allows the server to close the listener again", func() {
+		Expect(listener.Close()).To(Succeed())
+		Expect(listener.Close()).To(Succeed())
+	})
 })
