Check twice that a connection is unused before it is closed

Found by 60 runs of the specs of internal/shutdown: in one of them a stopping listener closed a connection on which two bytes had just arrived. The bytes had been read from the kernel and not been counted yet, when the check ran.

--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -165,6 +165,8 @@
 	state http.ConnState
 	// received is true when bytes have been read since the state changed.
 	received bool
+	// seenUnused is true when the last check found the connection unused.
+	seenUnused bool
 }
 
 // Read implements net.Conn.
@@ -189,14 +191,14 @@
 }
 
 // isUnused reports whether the connection is idle, or new if includeNew is set, and
-// no part of a request has arrived on it.
+// no part of a request has arrived on it, as in the check before. A single check could
+// coincide with a read whose bytes are in neither the kernel nor the count.
 func (c *conn) isUnused(includeNew bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != http.StateIdle && (c.state != http.StateNew || !includeNew) {
-		return false
-	}
-	return !c.received && !c.hasUnreadBytes()
+	before := c.seenUnused
+	c.seenUnused = (c.state == http.StateIdle || c.state == http.StateNew && includeNew) && !c.received && !c.hasUnreadBytes()
+	return before && c.seenUnused
 }
 
 // hasUnreadBytes reports whether the kernel holds bytes that have not been read.
--- a/internal/shutdown/listener_test.go
+++ b/internal/shutdown/listener_test.go
@@ -25,24 +25,31 @@
 
 const request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
 
-// heldConn is a connection whose reader does not run while held, as on a machine
-// without a free processor.
+// hold keeps the readers of connections from running, as on a machine without a free
+// processor.
+type hold struct {
+	held     atomic.Bool
+	released chan struct{}
+}
+
 type heldConn struct {
 	net.Conn
-	hold <-chan struct{}
+	hold *hold
 }
 
 func (c *heldConn) NetConn() net.Conn { return c.Conn }
 
 func (c *heldConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	<-c.hold
+	if c.hold.held.Load() {
+		<-c.hold.released
+	}
 	return n, err
 }
 
 type heldListener struct {
 	net.Listener
-	hold <-chan struct{}
+	hold *hold
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -57,7 +64,7 @@
 	var (
 		listener *shutdown.Listener
 		server   *http.Server
-		hold     chan struct{}
+		readers  *hold
 		client   net.Conn
 		stopping *atomic.Bool
 	)
@@ -67,7 +74,7 @@
 		listener, err = shutdown.Listen("127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		stopping = &atomic.Bool{}
-		hold = make(chan struct{}, 100)
+		readers = &hold{released: make(chan struct{})}
 		server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if stopping.Load() {
 				w.Header().Set("Connection", "close")
@@ -75,7 +82,7 @@
 			_, _ = io.WriteString(w, "served")
 		})}
 		shutdown.TrackState(server)
-		go func() { _ = server.Serve(&heldListener{Listener: listener, hold: hold}) }()
+		go func() { _ = server.Serve(&heldListener{Listener: listener, hold: readers}) }()
 		DeferCleanup(server.Close)
 		client, err = net.DialTimeout("tcp", listener.Addr().String(), testTimeout)
 		Expect(err).NotTo(HaveOccurred())
@@ -83,17 +90,15 @@
 		Expect(client.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
 	})
 
-	// exchangeOne makes the connection idle after a response.
+	// exchangeOne makes the connection idle after a response, and holds its reader.
 	exchangeOne := func() {
-		hold <- struct{}{}
-		// The server reads in the background while the handler runs.
-		hold <- struct{}{}
 		_, err := io.WriteString(client, request)
 		Expect(err).NotTo(HaveOccurred())
 		buffer := make([]byte, 1024)
 		n, err := client.Read(buffer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(buffer[:n])).To(HaveSuffix("served"))
+		readers.held.Store(true)
 	}
 
 	stop := func() chan error {
@@ -115,7 +120,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		stopped := stop()
 		Consistently(stopped, 100*time.Millisecond).ShouldNot(Receive())
-		close(hold)
+		close(readers.released)
 		response, err := io.ReadAll(client)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(response)).To(And(HaveSuffix("served"), ContainSubstring("Connection: close")))
@@ -124,7 +129,7 @@
 
 	It("closes idle connections without a request", func() {
 		exchangeOne()
-		close(hold)
+		close(readers.released)
 		Eventually(stop(), testTimeout).Should(Receive(Succeed()))
 		_, err := client.Read(make([]byte, 1))
 		Expect(err).To(MatchError(io.EOF))
@@ -139,7 +144,7 @@
 		stopped := stop()
 		Consistently(stopped, 100*time.Millisecond).ShouldNot(Receive())
 		Expect(client.Close()).To(Succeed())
-		close(hold)
+		close(readers.released)
 		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
 	})
 
