Compute the finish margin of a move in one place

latestProof took the least margin where earliestFinish takes 5% of the window. The proof is forced at 65% of the window before either matters, in windows over 20 s; in shorter ones both are one second. The comment of Arrivals says what its index is.

--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -125,11 +125,15 @@
 	return max(s.windowFraction(gracePeriodFraction), minGracePeriod)
 }
 
+// finishMargin returns the planned time from the outcome done to the finish time.
+func (s schedule) finishMargin() time.Duration {
+	return min(max(s.windowFraction(finishMarginFraction), minFinishMargin), maxFinishMargin)
+}
+
 // earliestFinish returns the earliest time at which a move that reached full
 // progress at fullAt may finish.
 func (s schedule) earliestFinish(fullAt time.Time) time.Time {
-	margin := min(max(s.windowFraction(finishMarginFraction), minFinishMargin), maxFinishMargin)
-	at := s.finish.Add(-margin)
+	at := s.finish.Add(-s.finishMargin())
 	if longest := fullAt.Add(maxSoak); at.After(longest) {
 		at = longest
 	}
@@ -143,7 +147,7 @@
 // for the move to finish in time.
 func (s schedule) latestProof() time.Time {
 	left := len(steps) - 1 - slices.Index(steps, ProvingPermille)
-	return s.finish.Add(-minFinishMargin - time.Duration(left+1)*s.dwell())
+	return s.finish.Add(-s.finishMargin() - time.Duration(left+1)*s.dwell())
 }
 
 // allowedLLR returns the highest RegressionLLR at which a version counts as
--- a/internal/routing/arrivals.go
+++ b/internal/routing/arrivals.go
@@ -27,7 +27,7 @@
 	// time of day does not move them.
 	start time.Time
 	first map[arrivalKey]time.Time
-	// order holds the keys of first in the order of arrival, from oldest on.
+	// order holds the keys of first in the order of arrival, beginning at index oldest.
 	order  []arrival
 	oldest int
 }
