Keep SIGHUP registered while the sidecar stops

Cause: the watch of the settings file owned the registration of SIGHUP and ended with the context that SIGTERM cancels. Its signal.Stop gave SIGHUP back to the default action, so a reload within the 2.5 to 5.5 s of a planned stop ended the process at once.

The program now registers SIGHUP before it does anything else and never gives it back, so its lifetime no longer depends on who uses it.

--- a/cmd/magnoliamount-sidecar/main.go
+++ b/cmd/magnoliamount-sidecar/main.go
@@ -19,25 +19,29 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	// The default action of SIGHUP ends the process and cuts its requests, so the
+	// signal stays registered until the process exits.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := command(reload).Run(ctx, os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "magnoliamount-sidecar:", err)
 		os.Exit(1)
 	}
 }
 
-func command() *cli.Command {
+func command(reload <-chan os.Signal) *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true}
 	level := &cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"}
 	return &cli.Command{
 		Name: "magnoliamount-sidecar", Usage: "run a daemon on the Lipa platform",
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "run the daemon until SIGTERM, then drain", Flags: []cli.Flag{settings, level}, Action: run},
+			{Name: "run", Usage: "run the daemon until SIGTERM, then drain", Flags: []cli.Flag{settings, level}, Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, c, reload) }},
 			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
 		},
 	}
 }
 
-func run(ctx context.Context, c *cli.Command) error {
+func run(ctx context.Context, c *cli.Command, reload <-chan os.Signal) error {
 	s, err := platform.ReadSettings(c.String("settings"))
 	if err != nil {
 		return err
@@ -46,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	return platform.Run(ctx, c.String("settings"), root)
+	return platform.Run(ctx, c.String("settings"), reload, root)
 }
 
 func check(_ context.Context, c *cli.Command) error {
