Keep the sidecar running when the reader of its log ends

A write to a closed standard output raises SIGPIPE, whose default action ends the process: a log collector that restarts took every daemon whose log it read with it, and the requests in flight. It is the same class of fault as the SIGHUP during a stop: a signal without a handler ends a process that serves.

--- a/cmd/magnoliamount-sidecar/main.go
+++ b/cmd/magnoliamount-sidecar/main.go
@@ -23,6 +23,8 @@
 	// signal stays registered until the process exits.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	// A write to a log that nobody reads fails in place of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := command(reload).Run(ctx, os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "magnoliamount-sidecar:", err)
 		os.Exit(1)
