Keep the daemon running on SIGHUP and repeated SIGTERM

Nothing handled SIGHUP in `magnoliamount daemon`, and its handler of SIGTERM was removed at the first signal, so a reload at any time and a second stop while it drains ended the process and cut the requests in flight.

SIGHUP and SIGTERM now stay registered until the process exits, and SIGPIPE of its log is ignored. A second SIGINT still ends the daemon at once, which the operator at a terminal expects.

Each planned stop of the integration scenarios now gets SIGHUP, SIGTERM, SIGHUP and SIGTERM.

--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/magnoliamount/magnoliamount/internal/cli"
 	"github.com/magnoliamount/magnoliamount/internal/daemon"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
@@ -26,8 +28,8 @@
 }
 
 // run executes the command line and returns the exit code. The first SIGTERM or
-// SIGINT cancels the context, which starts a graceful shutdown. A second signal
-// terminates the process immediately.
+// SIGINT cancels the context, which starts a graceful shutdown. A second SIGINT
+// terminates the process immediately, and so does a second SIGTERM except in a daemon.
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -63,5 +65,20 @@
 	if err != nil {
 		return err
 	}
+	keepServingOnSignals(root.Component("signals"))
 	return daemon.Run(ctx, s, root.Component("daemon"))
 }
+
+// keepServingOnSignals registers the signals whose default action would end the daemon
+// before its requests in flight are answered. They stay registered until the process
+// exits.
+func keepServingOnSignals(logger *log.Logger) {
+	signal.Ignore(syscall.SIGPIPE)
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP, syscall.SIGTERM)
+	go func() {
+		for s := range received {
+			logger.Info().Str("event", "signal-received").Str("signal", s.String()).Msg("received a signal")
+		}
+	}()
+}
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -75,11 +75,20 @@
 	"controller-killed", "updates-disordered", "link-daemons", "link-domains", "link-regions", "herd", "controller-killed-and-region-cut", "soak",
 }
 
-// stopDaemon carries out the planned stop of a daemon and waits for its end.
+// signalInterval is the time between the signals that a stopping daemon gets. All of
+// them arrive before it refuses new requests.
+const signalInterval = 300 * time.Millisecond
+
+// stopDaemon carries out the planned stop of a daemon and waits for its end. A reload
+// of the daemon's settings and another stop overlap with it.
 func (w *world) stopDaemon(vm *fleet.VM) {
 	w.logf("planned stop of the daemon on %s", vm.Name)
 	w.check.PlannedStops = append(w.check.PlannedStops, checker.PlannedStop{VM: vm.Name, At: time.Now(), ExpectCompleteRuns: !slices.Contains(requestBreakingScenarios, w.name)})
-	w.Expect(vm.StopDaemon(loadStopLimit)).To(gomega.Succeed())
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		vm.Daemon.Signal(signal)
+		w.pause(signalInterval)
+	}
+	w.Expect(vm.Daemon.WaitTimeout(loadStopLimit)).To(gomega.Succeed())
 	w.logf("the daemon on %s has stopped", vm.Name)
 }
 
