Write the log without waiting for its reader

A daemon wrote each line of its log synchronously. When the program that reads its standard output stalled and the pipe was full, the event loop waited, and with it heartbeats, configurations and requests: callers got no answer until their deadlines.

--- a/cmd/magnoliamount-sidecar/main.go
+++ b/cmd/magnoliamount-sidecar/main.go
@@ -48,7 +48,9 @@
 	if err != nil {
 		return err
 	}
-	root, err := logging.New(os.Stdout, c.String("log-level"), s.VM)
+	output := logging.NewAsyncWriter(os.Stdout)
+	defer output.Flush(logging.FlushTimeout)
+	root, err := logging.New(output, c.String("log-level"), s.VM)
 	if err != nil {
 		return err
 	}
--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -61,7 +61,9 @@
 
 // runDaemon runs the daemon with a logger that writes to standard error.
 func runDaemon(ctx context.Context, s *settings.Settings) error {
-	root, err := logging.New(os.Stderr, s.Log.Level, s.VM.Name)
+	output := logging.NewAsyncWriter(os.Stderr)
+	defer output.Flush(logging.FlushTimeout)
+	root, err := logging.New(output, s.Log.Level, s.VM.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -38,3 +41,50 @@
 		logging.Failure(logging.Discard().Component("x").Info(), fault.New(fault.Internal, "x")).Msg("nothing")
 	})
 })
+
+// stalledWriter blocks each write until release is closed.
+type stalledWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written []string
+}
+
+func (s *stalledWriter) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = append(s.written, string(p))
+	return len(p), nil
+}
+
+var _ = Describe("AsyncWriter", func() {
+	It("drops lines while the reader stalls and counts them, guarding against a daemon that waits for its log", func(ctx SpecContext) {
+		stalled := &stalledWriter{release: make(chan struct{})}
+		output := logging.NewAsyncWriter(stalled)
+		const lines = 2000
+		for i := range lines {
+			_, err := fmt.Fprintf(output, "{\"line\":%d}\n", i)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		output.Flush(time.Millisecond)
+		close(stalled.release)
+		output.Flush(time.Second)
+		stalled.mu.Lock()
+		defer stalled.mu.Unlock()
+		kept, dropped := 0, 0
+		for _, line := range stalled.written {
+			var decoded struct {
+				Event string `json:"event"`
+				Count int    `json:"count"`
+			}
+			Expect(json.Unmarshal([]byte(line), &decoded)).To(Succeed())
+			if decoded.Event == "log-lines-dropped" {
+				dropped += decoded.Count
+				continue
+			}
+			kept++
+		}
+		Expect(dropped).To(BeNumerically(">", 0))
+		Expect(kept + dropped).To(Equal(lines))
+	}, SpecTimeout(10*time.Second))
+})
