Answer the requests in flight when a listener of the sidecar fails

Callers got EOF in place of a response when any listener of the daemon failed, also that for metrics, heartbeats or readiness: Run returned at once and closed the connections of all servers. It now performs the planned stop first, as package daemon does, and then returns the error.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -122,8 +122,8 @@
 	peerClient *http.Client
 }
 
-// Run runs a daemon until ctx ends and then shuts it down gracefully. It fails
-// with fault.Invalid when the daemon cannot start.
+// Run runs a daemon until ctx ends or a listener fails, and then shuts it down
+// gracefully. It fails with fault.Invalid when the daemon cannot start.
 func Run(ctx context.Context, config Config) error {
 	d := New(config)
 	debug.SetGCPercent(gcPercent)
@@ -138,13 +138,14 @@
 	d.start(background)
 	d.logger.Info().Str("event", "daemon-started").Str("domain", config.Domain).Str("service", config.Service).Msg("daemon started")
 	failed := d.servers.serve()
+	var failure error
 	select {
 	case <-ctx.Done():
-	case err := <-failed:
-		d.logger.Error().Err(err).Msg("listener failed")
-		return err
+	case failure = <-failed:
+		d.logger.Error().Err(failure).Str("event", "listener-failed").Msg("listener failed")
 	}
-	return d.stop()
+	d.stop()
+	return failure
 }
 
 // New returns a daemon that is not started.
@@ -350,7 +351,7 @@
 // stop shuts the daemon down: it reports that it is draining to callers, and later
 // to other daemons, so that its target serves meanwhile. StopNotice after the
 // request it closes the request listeners and waits for the requests in flight.
-func (d *Daemon) stop() error {
+func (d *Daemon) stop() {
 	d.logger.Info().Str("event", "daemon-stopping").Msg("draining before shutdown")
 	d.stopping.Store(true)
 	stopRequested := time.Now()
@@ -363,7 +364,6 @@
 	defer cancel()
 	err := d.servers.shutdown(ctx)
 	d.logger.Info().Str("event", "daemon-stopped").Err(err).Dur("took", time.Since(stopRequested)).Msg("daemon stopped")
-	return nil
 }
 
 var _ proxy.Observer = (*Daemon)(nil)
