Answer operators' requests in flight before a daemon ends

Operators got EOF in place of the response that says whether to submit a ticket again: a stopping daemon ended its event loop and closed the connections of the administration listener right after it. It now stops the administration server once the loop has ended, which releases the handlers that wait for it, and waits up to 1 s for their responses.

The spec submits ten tickets while the platform is slow and the daemon stops. Without the change 10 of 10 fail with EOF; with it all get a response.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -126,6 +126,19 @@
 	return <-failures
 }
 
+// adminStopTimeout is how long a stopping daemon waits for its last responses to
+// operators.
+const adminStopTimeout = time.Second
+
+// shutdownAdmin stops the administration server after the end of the event loop, which
+// releases the handlers that wait for it, and waits for their responses.
+func (s *servers) shutdownAdmin() {
+	ctx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
+	defer cancel()
+	// The server's connections that are left are closed with the daemon.
+	_ = s.admin.tcp.Shutdown(ctx, s.admin.http)
+}
+
 // close closes all servers and listeners immediately.
 func (s *servers) close() {
 	for _, srv := range s.all() {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -31,6 +31,7 @@
 	closed := d.transport.Close()
 	d.loop.cancel()
 	<-d.loop.done
+	d.servers.shutdownAdmin()
 	d.servers.close()
 	if err := errors.CombineErrors(errors.CombineErrors(cause, drained), errors.CombineErrors(stopped, errors.CombineErrors(flushed, closed))); err != nil {
 		return fault.Wrap(err, fault.KindOf(err), "stop the daemon")
