Take no response without an id for the answer on a reused connection

Callers got "not run" (503) for requests that a target ran, or a second target ran them too: a target had sent the refusal of an earlier request once more, without a request id, on a kept connection. The daemon beside the target took it for the answer to the next request.

Cause: a response without an id counted as the answer to the current request. On the connections of http.Transport (bodies over the buffer, and all requests at the connection limit) a response that the daemon discards for its id also left its connection in use, so that the next request would get the answer to this one.

Targets echo the request's id in all responses. A response without an id is now accepted only on a connection that carried no earlier request, where no earlier response exists. On a reused one its outcome is unknown (502), and the connection is closed, in both kinds of connections.

Refusals that carry the earlier id were told apart before. The target in report_test.go echoes the id now, as targets do.

--- a/internal/proxy/direct.go
+++ b/internal/proxy/direct.go
@@ -35,16 +35,19 @@
 	idleSince       time.Time
 	probeByte       [1]byte
 	noPendingData   bool
-	// requestID is as in linkOptions.
-	requestID string
+	pool            *pool
 	// mustClose is true when the connection cannot carry another request: the
-	// last one was not sent completely, or a response to another request was
-	// received.
+	// last one was not sent completely, or a response was received that may belong
+	// to another request.
 	mustClose bool
+	// reused is true when the connection carried an earlier request.
+	reused bool
+	// identified is as in sendResult, for the last response.
+	identified bool
 }
 
-func newDirectConn(counted *countedConn, requestID string) (*directConn, error) {
-	c := &directConn{countedConn: counted, headerBytesLeft: noHeaderLimit, requestID: requestID}
+func newDirectConn(counted *countedConn, p *pool) (*directConn, error) {
+	c := &directConn{countedConn: counted, headerBytesLeft: noHeaderLimit, pool: p}
 	c.reader = bufio.NewReaderSize(c, ioBufferBytes)
 	c.writer = bufio.NewWriterSize(counted, ioBufferBytes)
 	conn, ok := counted.Conn.(syscall.Conn)
@@ -147,14 +150,18 @@
 	for mismatched, informationals := 0, 0; ; {
 		c.headerBytesLeft = maxResponseHeaderBytes
 		response, err := http.ReadResponse(c.reader, r)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
+		}
+		match := c.pool.identify(r, response, c.reused)
+		switch {
 		case informational(response.StatusCode):
 			if informationals++; informationals > maxInformational {
 				return nil, errors.New("the endpoint sent too many informational responses")
 			}
-		case !c.isMismatched(r, response):
+		case match != otherRequest:
+			c.identified = match == sameRequest
+			c.mustClose = c.mustClose || !c.identified
 			return response, nil
 		case mismatched == maxMismatchedResponses || response.Close:
 			return nil, errors.New("the endpoint sent responses to other requests")
@@ -169,14 +176,6 @@
 	}
 }
 
-func (c *directConn) isMismatched(r *http.Request, response *http.Response) bool {
-	if c.requestID == "" {
-		return false
-	}
-	echoed := response.Header.Get(c.requestID)
-	return echoed != "" && echoed != r.Header.Get(c.requestID)
-}
-
 func informational(status int) bool {
 	return status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -195,7 +194,7 @@
 		return sendResult{}, false
 	}
 	writtenBefore := conn.written.Load()
-	conn.responseStarted = false
+	conn.responseStarted, conn.reused = false, writtenBefore > 0
 	d := &directBody{pool: &l.pool, conn: conn}
 	d.stopAbort = context.AfterFunc(ctx, conn.abort)
 	response, err := conn.roundTrip(s.request)
@@ -210,7 +209,7 @@
 		d.ReadCloser = response.Body
 		response.Body = d
 	}
-	return sendResult{response: response, wrote: true, setupTime: conn.setupTime(writtenBefore)}, true
+	return sendResult{response: response, wrote: true, setupTime: conn.setupTime(writtenBefore), identified: conn.identified}, true
 }
 
 // abort ends a round trip whose context has ended. It resets the connection:
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	direct, err := newDirectConn(conn, p.requestID)
+	direct, err := newDirectConn(conn, p)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -49,13 +49,14 @@
 
 // checkResponse verifies a target's response. It returns the refusal to send in
 // place of a response that must not be forwarded, or nil.
-func (p *Protocol) checkResponse(response *http.Response, id string) *refusal {
+func (p *Protocol) checkResponse(result sendResult) *refusal {
 	if !p.verifiesResponses() {
 		return nil
 	}
+	response := result.response
 	h := response.Header
-	if echoed := h.Get(p.RequestID); echoed != "" && id != "" && echoed != id {
-		return unknown(http.StatusBadGateway, fault.New(fault.Protocol, "the target answered request %q instead", echoed))
+	if !result.identified {
+		return unknown(http.StatusBadGateway, fault.New(fault.Protocol, "the target's answer with request id %q may belong to another request", h.Get(p.RequestID)))
 	}
 	if p.NotExecuted != "" && h.Get(p.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		return p.notExecuted(response.StatusCode)
--- a/internal/proxy/report_test.go
+++ b/internal/proxy/report_test.go
@@ -42,6 +42,7 @@
 			reached <- r.Header.Clone()
 			time.Sleep(work)
 			w.Header().Set("X-Signature", "s")
+			w.Header().Set(uploadProtocol().RequestID, r.Header.Get(uploadProtocol().RequestID))
 		}))
 		DeferCleanup(target.Close)
 		inbound := NewInbound(InboundConfig{Observer: noopObserver{}, Protocol: uploadProtocol(), BufferBytes: 1 << 20})
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -145,7 +145,7 @@
 		return
 	}
 	defer result.response.Body.Close()
-	refused := s.n.config.Protocol.checkResponse(result.response, s.in.id)
+	refused := s.n.config.Protocol.checkResponse(result)
 	s.backend.failures.add(refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
 	if refused == nil || refused.outcome != NotRun {
 		s.observe(latency-result.setupTime, refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -186,6 +186,13 @@
 	return s.conn.setupTime(s.base)
 }
 
+// reused reports whether the connection carried an earlier request.
+func (s *writeTracker) reused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn == nil || s.base > 0
+}
+
 func (s *writeTracker) update() {
 	if s.conn != nil && s.conn.written.Load() != s.base {
 		s.wrote = true
@@ -217,6 +224,8 @@
 	// setupTime is how much of the latency may be due to opening a connection; zero
 	// for a reused connection.
 	setupTime time.Duration
+	// identified is false when the response may belong to another request.
+	identified bool
 }
 
 // setupAllowance is the extra latency of the first request on a connection,
@@ -265,7 +274,16 @@
 	ctx := s.request.Context()
 	response, err := l.transport.RoundTrip(s.request.WithContext(httptrace.WithClientTrace(ctx, &s.trace)))
 	if err == nil {
-		return sendResult{response: response, wrote: true, setupTime: s.writes.setupTime()}
+		result := sendResult{response: response, wrote: true, setupTime: s.writes.setupTime(), identified: true}
+		if l.pool.identify(s.request, response, s.writes.reused()) != sameRequest {
+			// The response to this request may still arrive, and the next request
+			// on the connection would receive it.
+			s.writes.closeAndCheck()
+			_ = response.Body.Close()
+			response.Body, response.ContentLength = http.NoBody, 0
+			result.identified = false
+		}
+		return result
 	}
 	var dialErr *dialError
 	wrote := s.writes.closeAndCheck()
