Send a request at most once to a target that has refused it

Callers got "not run" (503) for a request that a target ran: the target refused the request, got it once more from the same daemon, ran it, and sent its refusal again before the response. The refusal carries the id of the request, so that nothing tells it from a refusal of the second attempt.

Cause: after refusals by targets themselves, Search queued at the cheapest target of all, which could be one that had refused the request. It now excludes the targets that the request reached and those that are not there. Targets whose daemon refused for lack of room, without passing the request on, may still be chosen.

--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -78,8 +78,9 @@
 	afterBody
 )
 
-// repeatingTarget refuses requests whose path begins with /refuse and runs all
-// others. It sends each refusal a second time on its connection.
+// repeatingTarget refuses requests whose path begins with /refuse, and those with
+// /first when it gets them for the first time. It runs all others. It sends each
+// refusal a second time on its connection.
 type repeatingTarget struct {
 	listener net.Listener
 	// refusal is the response to the requests that it refuses. "%s" stands for the
@@ -87,16 +88,15 @@
 	refusal string
 	when    repeatTime
 
-	mu   sync.Mutex
-	runs map[string]int
-	// repeated counts the refusals that were sent again to another request.
-	repeated int
+	mu       sync.Mutex
+	arrivals map[string]int
+	runs     map[string]int
 }
 
 func newRepeatingTarget(refusal string, when repeatTime) *repeatingTarget {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	t := &repeatingTarget{listener: listener, refusal: refusal, when: when, runs: map[string]int{}}
+	t := &repeatingTarget{listener: listener, refusal: refusal, when: when, arrivals: map[string]int{}, runs: map[string]int{}}
 	DeferCleanup(listener.Close)
 	go func() {
 		for {
@@ -110,6 +110,20 @@
 	return t
 }
 
+// refuses records the arrival of a request and reports whether it is refused.
+func (t *repeatingTarget) refuses(path, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals[id]++
+	return strings.HasPrefix(path, "/refuse") || strings.HasPrefix(path, "/first") && t.arrivals[id] == 1
+}
+
+func (t *repeatingTarget) runsOf(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
 func (t *repeatingTarget) serve(conn net.Conn) {
 	defer conn.Close()
 	reader, earlier := bufio.NewReader(conn), ""
@@ -117,9 +131,6 @@
 		if earlier != "" && t.when == when {
 			_, _ = io.WriteString(conn, earlier)
 			earlier = ""
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			t.repeated++
 		}
 	}
 	for {
@@ -132,7 +143,7 @@
 			return
 		}
 		id := r.Header.Get("X-Id")
-		if strings.HasPrefix(r.URL.Path, "/refuse") {
+		if t.refuses(r.URL.Path, id) {
 			earlier = strings.ReplaceAll(t.refusal, "%s", id)
 			_, _ = io.WriteString(conn, earlier)
 			if t.when == whileIdle {
@@ -150,6 +161,20 @@
 	}
 }
 
+// sendWithID sends a request with the id and a body of the given size.
+func sendWithID(url, id string, size int) (status int, body string) {
+	GinkgoHelper()
+	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(make([]byte, size)))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("X-Id", id)
+	response, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(content)
+}
+
 // Guards against taking the repeated refusal of an earlier request for the answer
 // to a request that the target runs.
 var _ = Describe("a refusal that the target sends again on a kept connection", func() {
@@ -170,27 +195,11 @@
 				It(fmt.Sprintf("refuses no other request: %s, %s, %d bytes", refusal.name, moment, size), func() {
 					targets := []*repeatingTarget{newRepeatingTarget(refusal.text, repeatTime(when)), newRepeatingTarget(refusal.text, repeatTime(when))}
 					url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].listener.Addr().String(), targets[1].listener.Addr().String())
-					send := func(path, id string) (int, string) {
-						r, err := http.NewRequest(http.MethodPost, url+path, bytes.NewReader(make([]byte, size)))
-						Expect(err).NotTo(HaveOccurred())
-						r.Header.Set("X-Id", id)
-						response, err := http.DefaultClient.Do(r)
-						Expect(err).NotTo(HaveOccurred())
-						defer response.Body.Close()
-						body, err := io.ReadAll(response.Body)
-						Expect(err).NotTo(HaveOccurred())
-						return response.StatusCode, string(body)
-					}
 					for i := range 6 {
-						send("/refuse", fmt.Sprintf("refused-%d", i))
+						sendWithID(url+"/refuse", fmt.Sprintf("refused-%d", i), size)
 						id := fmt.Sprintf("run-%d", i)
-						status, body := send("/run", id)
-						runs := 0
-						for _, target := range targets {
-							target.mu.Lock()
-							runs += target.runs[id]
-							target.mu.Unlock()
-						}
+						status, body := sendWithID(url+"/run", id, size)
+						runs := targets[0].runsOf(id) + targets[1].runsOf(id)
 						Expect(runs).To(BeNumerically("<=", 1), "runs of "+id)
 						if runs == 1 {
 							Expect(status).To(Or(Equal(http.StatusOK), Equal(http.StatusBadGateway)))
@@ -203,4 +212,17 @@
 			}
 		}
 	}
+
+	It("refuses no later attempt at the same request", func() {
+		text := refusalOf("503 Service Unavailable", withID+"X-Not-Run: 1\r\n")
+		targets := []*repeatingTarget{newRepeatingTarget(text, beforeBody), newRepeatingTarget(text, beforeBody)}
+		url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].listener.Addr().String(), targets[1].listener.Addr().String())
+		for i := range 6 {
+			id := fmt.Sprintf("first-%d", i)
+			status, _ := sendWithID(url+"/first", id, 0)
+			if status == http.StatusServiceUnavailable {
+				Expect(targets[0].runsOf(id) + targets[1].runsOf(id)).To(BeZero())
+			}
+		}
+	})
 })
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -35,6 +35,10 @@
 	sends        int
 	busyRefusals int
 	maxWait      time.Duration
+	// failed holds the targets that the request reached or whose daemon has no
+	// target for it. They get it only once: a target may send its refusal again,
+	// and a second attempt there would take that for its own response.
+	failed []*Target
 }
 
 // First chooses the first target. It returns false when the service has no ready
@@ -54,6 +58,8 @@
 	if busy {
 		s.busyRefusals++
 		s.queueRefused = s.queueRefused || s.queueing
+	} else {
+		s.failed = append(s.failed, last.Target)
 	}
 	switch {
 	case s.sends >= maxSends || s.busyRefusals > maxProbed:
@@ -69,7 +75,7 @@
 	if s.queueRefused {
 		return Choice{}, false
 	}
-	best := c.Cheapest(now, last.Version, nil, s.Placement)
+	best := c.Cheapest(now, last.Version, s.failed, s.Placement)
 	return s.send(c, Choice{Service: last.Service, Version: last.Version, Target: best}, true), best != nil
 }
 
