Answer operators from the last state while a daemon ends

Since the administration server answers for up to 1 s after the event loop has ended, a ticket that had ended was reported as "open": the view of a loop that has ended was an empty state. It is now the node's last state, which no one changes any more. Responses of a stopping daemon close their connections, which the shutdown of the listener relies on.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -7,7 +7,6 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/core"
 	"github.com/magnoliamount/magnoliamount/internal/fault"
-	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/peer"
 	"github.com/magnoliamount/magnoliamount/internal/platform"
 	"github.com/magnoliamount/magnoliamount/internal/wire"
@@ -207,14 +206,16 @@
 }
 
 // view returns a copy of the node's state for the administration API. After the
-// loop has stopped, it returns an empty state.
+// loop has stopped, that is its last state.
 func (l *loop) view() core.NodeView {
 	reply := make(chan core.NodeView, 1)
 	select {
 	case l.viewRequests <- reply:
 		return <-reply
-	case <-l.ctx.Done():
-		return core.NodeView{State: model.NewState()}
+	case <-l.done:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.node.View()
 	}
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -53,7 +53,7 @@
 	limit := d.settings.Limits.MaxHeaderBytes
 	s.caller = server{name: "caller", http: newServer(proxy.CloseWhile(d.stopping.Load, bypassMux(callerMux, d)), limit)}
 	s.inbound = server{name: "inbound", http: newServer(proxy.CloseWhile(d.stopping.Load, d.inbound), limit)}
-	s.admin = server{name: "admin", http: newServer(adminHandler, limit)}
+	s.admin = server{name: "admin", http: newServer(proxy.CloseWhile(d.stopping.Load, adminHandler), limit)}
 	for _, bind := range []struct {
 		server  *server
 		address string
