Close the sidecar's servers before its event loop ends

Between the end of the loop and the close of the servers, a heartbeat or a leave notice was acknowledged although the task that applies it was dropped. Found by reading; the window is microseconds wide and no run shows it.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -128,13 +128,14 @@
 	d := New(config)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitBytes)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.backgroundContext = background
+	// The handlers need the event loop, so the servers close before it ends.
 	defer d.servers.close()
 	if err := d.servers.listen(d); err != nil {
 		return err
 	}
-	background, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	d.backgroundContext = background
 	d.start(background)
 	d.logger.Info().Str("event", "daemon-started").Str("domain", config.Domain).Str("service", config.Service).Msg("daemon started")
 	failed := d.servers.serve()
