--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // FlushTimeout is how long an exiting process waits for the reader of its log.
@@ -26,6 +27,9 @@
 	queue   chan []byte
 	pending atomic.Int64
 	dropped atomic.Int64
+	// logger writes the lines about dropped lines directly to the writer. It is nil
+	// until New uses the AsyncWriter.
+	logger atomic.Pointer[log.Logger]
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to w until the process exits.
@@ -51,8 +55,8 @@
 // writer are ignored.
 func (a *AsyncWriter) run() {
 	for line := range a.queue {
-		if dropped := a.dropped.Swap(0); dropped > 0 {
-			_, _ = io.WriteString(a.writer, `{"event":"log-lines-dropped","count":`+strconv.FormatInt(dropped, 10)+"}\n")
+		if logger := a.logger.Load(); logger != nil && a.dropped.Load() > 0 {
+			logger.Warn().Str("event", "log-lines-dropped").Int64("count", a.dropped.Swap(0)).Msg("the reader of the log was too slow")
 		}
 		_, _ = a.writer.Write(line)
 		a.pending.Add(-1)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -34,6 +34,10 @@
 	if !ok {
 		return nil, fault.New(fault.Invalid, "log level %q is not debug, info, warn or error", level)
 	}
+	if async, ok := w.(*AsyncWriter); ok {
+		direct := &Root{writer: async.writer, level: parsed, vm: vm}
+		async.logger.Store(direct.Component("log"))
+	}
 	return &Root{writer: w, level: parsed, vm: vm}, nil
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -61,10 +60,12 @@
 	It("drops lines while the reader stalls and counts them, guarding against a daemon that waits for its log", func(ctx SpecContext) {
 		stalled := &stalledWriter{release: make(chan struct{})}
 		output := logging.NewAsyncWriter(stalled)
+		root, err := logging.New(output, "info", "order-1")
+		Expect(err).NotTo(HaveOccurred())
+		logger := root.Component("peer")
 		const lines = 2000
 		for i := range lines {
-			_, err := fmt.Fprintf(output, "{\"line\":%d}\n", i)
-			Expect(err).NotTo(HaveOccurred())
+			logger.Info().Int("line", i).Msg("")
 		}
 		output.Flush(time.Millisecond)
 		close(stalled.release)
@@ -74,10 +75,12 @@
 		kept, dropped := 0, 0
 		for _, line := range stalled.written {
 			var decoded struct {
+				VM    string `json:"vm"`
 				Event string `json:"event"`
 				Count int    `json:"count"`
 			}
 			Expect(json.Unmarshal([]byte(line), &decoded)).To(Succeed())
+			Expect(decoded.VM).To(Equal("order-1"))
 			if decoded.Event == "log-lines-dropped" {
 				dropped += decoded.Count
 				continue
