Refuse requests that may not end before the sidecar does

In a planned stop, requests that came late in the grace period were sent to a target and cut without an answer at its end, among them requests that may not be repeated.

Cause: while it waited for the requests in flight, the daemon still sent requests to targets whose bodies ended late, that followed on a kept connection, or that got a slot late, whatever time was left. At the end it closed all connections, also those of requests that it had not sent to a target.

From half of the grace period on, a request is sent to a target only if its deadline is not after the end; others are refused with "not run" at once, also while their body arrives or while they wait for a slot. At the end, the requests in flight are canceled and get a response with the outcome unknown before the process exits. Requests sent earlier have the rest of the grace period, as before.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -38,6 +38,9 @@
 	senderRetries bool
 	// noBody omits the body that describes the refusal.
 	noBody bool
+	// closeConnection closes the caller's connection after the refusal, without
+	// reading the rest of the request's body.
+	closeConnection bool
 	// retryAfter is the value of the Retry-After header; zero omits the header.
 	retryAfter time.Duration
 	// crashFingerprint is the fingerprint of the request if the target crashed
@@ -82,6 +85,9 @@
 	}
 	setHeader(h, OutcomeHeader, string(a.outcome))
 	setHeader(h, "Content-Length", strconv.Itoa(len(encoded)))
+	if a.closeConnection {
+		setHeader(h, "Connection", "close")
+	}
 	if a.noRetry {
 		setHeader(h, NoRetryHeader, "1")
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -47,16 +47,22 @@
 
 // acquire waits for a slot. It fails with fault.Overloaded when the request is
 // shed, with fault.NotReady when the gate is closed, and with fault.Timeout
-// when the context ends first.
-func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter) error {
+// when the context ends or the request is too late for ending first.
+func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter, ending *Ending) error {
 	admitted := g.enqueue(now(), w)
 	if admitted == nil {
 		return verdictError(w.Verdict)
 	}
-	select {
-	case <-admitted:
-		return verdictError(w.Verdict)
-	case <-ctx.Done():
+	late := ending.lateChannel()
+	for waiting := true; waiting; {
+		select {
+		case <-admitted:
+			return verdictError(w.Verdict)
+		case <-late:
+			late, waiting = nil, !ending.isTooLate(w.Deadline)
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -65,7 +71,7 @@
 	} else if w.Verdict == routing.Admitted {
 		g.notify(g.admission.Release(now(), w))
 	}
-	return fault.Wrap(ctx.Err(), fault.Timeout, "the request waited for a slot until its deadline")
+	return fault.New(fault.Timeout, "the request waited for a slot until its deadline or until the daemon stopped")
 }
 
 // enqueue returns nil when the verdict is immediate, or else a channel that is
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -139,11 +139,19 @@
 		s.refuse(refused)
 		return
 	}
-	if err := s.backend.gate.acquire(s.ctx, n.config.Now, waiter); err != nil {
+	if err := s.backend.gate.acquire(s.ctx, n.config.Now, waiter, n.config.Ending); err != nil {
+		if refused := s.refusalIfLate(); refused != nil {
+			s.refuse(refused)
+			return
+		}
 		s.refuseShed(err, waiter)
 		return
 	}
 	defer func() { s.backend.gate.release(n.config.Now(), waiter) }()
+	if refused := s.refusalIfLate(); refused != nil {
+		s.refuse(refused)
+		return
+	}
 	s.serve()
 }
 
@@ -243,7 +251,13 @@
 		defer load.ReleaseBody(s.r.ContentLength)
 	}
 	if s.n.config.BufferBytes > 0 {
-		if err := s.source.fillTo(s.n.config.BufferBytes); err != nil {
+		stop := s.n.config.Ending.interruptRead(s.source, s.w, s.deadline)
+		err := s.source.fillTo(s.n.config.BufferBytes)
+		stop()
+		if refused := s.refusalIfLate(); refused != nil {
+			return refused
+		}
+		if err != nil {
 			return badBody(err)
 		}
 		s.source.reportLength(s.n.config.Link)
@@ -259,6 +273,16 @@
 	return nil
 }
 
+// refusalIfLate returns the refusal of a request that is too late for a daemon that
+// stops, or nil.
+func (s *service) refusalIfLate() *refusal {
+	refused := s.n.config.Ending.refusal(s.deadline)
+	if refused != nil {
+		refused.targetUnavailable = true
+	}
+	return refused
+}
+
 // checkTarget refuses a request that was meant for another service or version.
 // A stale endpoint entry at the sender can cause that.
 func (s *service) checkTarget() *refusal {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -252,12 +252,21 @@
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(outcomeGrace))
 	x.source.setReadDeadline(x.w, x.deadline.Add(outcomeGrace))
 	if x.o.config.BufferBytes > 0 {
-		if err := x.source.fillTo(x.o.config.BufferBytes); err != nil {
+		stop := x.o.config.Ending.interruptRead(x.source, x.w, x.deadline)
+		err := x.source.fillTo(x.o.config.BufferBytes)
+		stop()
+		if refused := x.o.config.Ending.refusal(x.deadline); refused != nil {
+			return refused
+		}
+		if err != nil {
 			return badBody(err)
 		}
 		x.source.reportLength(x.o.config.Link)
 	}
-	return x.checkQuarantine()
+	if refused := x.checkQuarantine(); refused != nil {
+		return refused
+	}
+	return x.o.config.Ending.refusal(x.deadline)
 }
 
 func (x *exchange) checkQuarantine() *refusal {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -45,9 +45,14 @@
 	// should send no more requests to the target. A row reaches them within a few
 	// hundred milliseconds.
 	leaveNotice = time.Second
-	// stopMargin is the part of the grace period that is left for the exit of the
-	// process.
+	// stopMargin is the part of the grace period that is left for the responses to the
+	// requests that are still in flight and for the exit of the process.
 	stopMargin = 500 * time.Millisecond
+	// finalResponseTime bounds the time for these responses.
+	finalResponseTime = 200 * time.Millisecond
+	// lateFraction is the part of the grace period after which requests that may
+	// not be finished in the rest of it are refused.
+	lateFraction = 0.5
 )
 
 // Daemon is a running daemon. Fields that belong to the event loop are accessed
@@ -117,8 +122,10 @@
 	// stopping is true from the stop request on, so that callers leave. leaving is
 	// true from leaveNotice before the listeners close on, so that other daemons send
 	// no more requests.
-	stopping   atomic.Bool
-	leaving    atomic.Bool
+	stopping atomic.Bool
+	leaving  atomic.Bool
+	// ending tells the proxies when the daemon ends.
+	ending     *proxy.Ending
 	peerClient *http.Client
 }
 
@@ -168,15 +175,16 @@
 	d.targetRow = newTargetRowWriter(d)
 	d.storeCalls = newStoreCallCounter(d.registry)
 	d.serverCallDetector = routing.NewServerCallDetector()
+	d.ending = proxy.NewEnding()
 	metrics := proxy.NewMetrics(d.registry)
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: config.Domain, VM: config.VM, Link: d.link, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
 		Protocol: config.Protocol, CallerService: config.Service, BufferBytes: bufferBytes,
-		ObservedAtTargets: true,
+		ObservedAtTargets: true, Ending: d.ending,
 	})
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Observer: d, Metrics: metrics, Protocol: config.Protocol, BufferBytes: bufferBytes, OnTargetLost: d.targetLost,
-		Link: d.link, ServerCalls: d.serverCallDetector,
+		Link: d.link, ServerCalls: d.serverCallDetector, Ending: d.ending,
 	})
 	return d
 }
@@ -349,19 +357,25 @@
 
 // stop shuts the daemon down: it reports that it is draining to callers, and later
 // to other daemons, so that its target serves meanwhile. StopNotice after the
-// request it closes the request listeners and waits for the requests in flight.
+// request it closes the request listeners and waits for the requests in flight. Late
+// in the grace period it refuses requests that may not be finished.
 func (d *Daemon) stop() error {
 	d.logger.Info().Str("event", "daemon-stopping").Msg("draining before shutdown")
 	d.stopping.Store(true)
 	stopRequested := time.Now()
+	end := stopRequested.Add(d.config.Grace - stopMargin)
+	d.ending.Set(stopRequested.Add(time.Duration(lateFraction*float64(d.config.Grace))), end)
 	lastNotice := min(d.config.StopNotice, leaveNotice)
 	time.Sleep(d.config.StopNotice - lastNotice)
 	d.leaving.Store(true)
 	d.loop.call(func(time.Time) { d.targetRow.update() })
 	time.Sleep(lastNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), stopRequested.Add(d.config.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := d.servers.shutdown(ctx)
+	if err != nil {
+		d.servers.breakOff()
+	}
 	d.logger.Info().Str("event", "daemon-stopped").Err(err).Dur("took", time.Since(stopRequested)).Msg("daemon stopped")
 	return nil
 }
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -43,6 +43,10 @@
 	all []*server
 	// link counts the traffic of the request listeners. It may be nil.
 	link *routing.LinkLoad
+	// requests is the parent of the contexts of all requests of callers, and
+	// cancelRequests cancels it.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 }
 
 // meteredListener counts the bytes that its connections transfer over the VM's
@@ -99,6 +103,7 @@
 	peer.HandleFunc("POST "+gossipPath, d.serveGossip)
 	inbound := d.senders.recordSenders(d.inbound, func() bool { return !d.ready.Load() })
 	s.link = d.link
+	s.requests, s.cancelRequests = context.WithCancel(context.Background())
 	if err := s.add("caller", d.config.Caller, proxy.CloseWhile(d.stopping.Load, d.outbound), true); err != nil {
 		return err
 	}
@@ -128,6 +133,9 @@
 	if carriesRequests && s.link != nil {
 		srv.listener = &meteredListener{Listener: tcp, link: s.link}
 	}
+	if carriesRequests {
+		srv.http.BaseContext = func(net.Listener) context.Context { return s.requests }
+	}
 	shutdown.TrackState(srv.http)
 	s.all = append(s.all, srv)
 	return nil
@@ -174,3 +182,13 @@
 	close(failures)
 	return <-failures
 }
+
+// breakOff cancels the requests that shutdown has not waited for, and waits until
+// the proxies have responded to them.
+func (s *servers) breakOff() {
+	s.cancelRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancel()
+	// Requests that take longer are cut by close.
+	_ = s.shutdown(ctx)
+}
