Fit the stop notice into a short grace period

With a grace period of 3 s, requests in flight got EOF at the end of the stop notice of 2.5 s, since the deadline of the shutdown had passed by then. With 2 s the platform would have killed the daemon while it still accepted requests. The notice is now at most half of the grace period less the margin; with 6 s it stays 2.5 s.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -46,8 +46,8 @@
 	// Grace is the time between the stop request and the platform's forced end of
 	// the process.
 	Grace time.Duration
-	// StopNotice is how long the daemon keeps serving after the stop request. Zero
-	// means DefaultStopNotice.
+	// StopNotice is how long the daemon keeps serving after the stop request, at most
+	// half of what Grace leaves. Zero means DefaultStopNotice.
 	StopNotice time.Duration
 	Logger     *log.Logger
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -367,8 +367,10 @@
 	stopRequested := time.Now()
 	end := stopRequested.Add(d.config.Grace - stopMargin)
 	d.ending.Set(stopRequested.Add(time.Duration(lateFraction*float64(d.config.Grace))), end)
-	lastNotice := min(d.config.StopNotice, leaveNotice)
-	time.Sleep(d.config.StopNotice - lastNotice)
+	// The requests in flight get at least as much time as the notice.
+	notice := min(d.config.StopNotice, max(0, d.config.Grace-stopMargin)/2)
+	lastNotice := min(notice, leaveNotice)
+	time.Sleep(notice - lastNotice)
 	d.leaving.Store(true)
 	d.loop.call(func(time.Time) { d.targetRow.update() })
 	time.Sleep(lastNotice)
