Write the rows again that a restore of the store has undone

What callers saw: targets, baselines and moves whose rows the backup lacked or held in an older state stayed so in the store, and daemons took the older rows for the newest ones. A target that had left could get requests again, and daemons that started later did not find targets and baselines.

Cause: a list of the mesh table replaced all that was known, and a daemon took its target's row for stored once it had been written, for the life of the process. A daemon that restarted after the restore continued from the incarnation in the backup, so that others took its row for an older one.

Records now carry the era of the store in which they were written. That era and the counter of the row's version order all contents of a row in the sequence of their writes, so daemons keep content that is newer than the backup's, and know which rows the store lacks. Each daemon writes its target's row, the leader of an open move its record, and the other daemons in turn write baselines and finished moves with their status. Rows that the backup holds unchanged cause no writes, and a row that is read again no longer makes its target count as cold.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -39,9 +39,8 @@
 // serviceMove is the newest move of a service.
 type serviceMove struct {
 	service string
-	// record is the stored row and version its version in the store.
-	record  *moveRecord
-	version uint64
+	replica
+	record *moveRecord
 	// orderSeenAt is when this daemon first processed the order while no record
 	// of its move existed; zero once there is a record.
 	orderSeenAt time.Time
@@ -97,7 +96,7 @@
 		return err
 	}
 	m := n.move(service)
-	if row.Version < m.version {
+	if !m.observe(row.Version, record.Era) {
 		return nil
 	}
 	newOrder := m.record == nil || m.record.Order != record.Order
@@ -107,7 +106,7 @@
 	if newOrder || m.record.Epoch != record.Epoch {
 		m.leaderContactAt = now
 	}
-	m.record, m.version = record, row.Version
+	m.record = record
 	if l := m.leader; l != nil && (record.Epoch != l.epoch || record.Leader != n.self.VM || record.LeaderRun != n.self.Run) {
 		m.leader = nil
 	}
@@ -183,7 +182,7 @@
 	m := n.move(o.Service)
 	delay := time.Duration(n.leaderRank(o.Revision)) * candidacyDelay
 	if m.record == nil || m.record.Order < o.Revision {
-		from, ok := n.baselines[o.Service]
+		baseline, ok := n.baselines[o.Service]
 		if !ok {
 			return nil
 		}
@@ -195,7 +194,7 @@
 		}
 		accepted := storeClock - now.Sub(m.orderSeenAt)
 		return n.claimLeadership(&moveRecord{
-			Order: o.Revision, Service: o.Service, From: from, To: o.Version,
+			Order: o.Revision, Service: o.Service, From: baseline.record.Version, To: o.Version,
 			AcceptedMS: accepted.Milliseconds(), FinishMS: (accepted + o.Within).Milliseconds(),
 		})
 	}
@@ -214,6 +213,7 @@
 // claimLeadership names this daemon as the leader in the record, in the next epoch.
 func (n *Node) claimLeadership(r *moveRecord) *moveRecord {
 	r.Epoch++
+	r.Era = n.era
 	r.Leader, r.LeaderRun, r.EvidenceAddress = n.self.VM, n.self.Run, n.self.Peer
 	return r
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -32,7 +32,7 @@
 	config    *Configuration
 	orders    map[string]Order
 	targets   map[string]knownTarget
-	baselines map[string]string
+	baselines map[string]*serviceBaseline
 	moves     map[string]*serviceMove
 	crashes   map[uint64]uint32
 	// unwrittenCrashes counts the crashes that are not yet written to the store,
@@ -51,6 +51,10 @@
 	routingChanged       bool
 	// storeUnavailable is true while the store does not respond to this daemon.
 	storeUnavailable bool
+	// era is the newest era of the store from which all rows are known, since
+	// eraSince.
+	era      uint64
+	eraSince time.Time
 }
 
 // knownTarget is a target's record and when this daemon received it.
@@ -59,10 +63,16 @@
 	received time.Time
 }
 
+// serviceBaseline is the newest known baseline of a service.
+type serviceBaseline struct {
+	replica
+	record baselineRecord
+}
+
 // NewNode returns a node without configuration, orders or rows.
 func NewNode(self Self) *Node {
 	return &Node{
-		self: self, orders: map[string]Order{}, targets: map[string]knownTarget{}, baselines: map[string]string{},
+		self: self, orders: map[string]Order{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, unwrittenCrashes: map[uint64]uint32{},
 		brakes: map[uint64]string{}, writesInProgress: map[string]bool{}, retryAt: map[string]time.Time{},
 		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{},
@@ -97,31 +107,37 @@
 	return true
 }
 
-// Reset replaces all state that comes from the mesh table by the rows. It skips
-// rows that cannot be decoded and returns their errors.
+// Reset replaces all state that comes from the mesh table by the rows, except
+// newer records and those that a restore of the store has undone. It skips rows
+// that cannot be decoded and returns their errors.
 func (n *Node) Reset(now time.Time, all []rows.Row) []error {
 	old := n.targets
 	n.targets = map[string]knownTarget{}
-	n.baselines = map[string]string{}
-	n.crashes = map[uint64]uint32{}
 	listed := map[string]bool{}
 	var failures []error
 	for _, row := range all {
-		if service, ok := suffix(row.Name, movePrefix); ok {
-			listed[service] = true
-		}
+		listed[row.Name] = true
 		if err := n.apply(now, row); err != nil {
 			failures = append(failures, err)
 		}
 	}
-	for vm, known := range n.targets {
-		if before, ok := old[vm]; ok && before.record.Incarnation == known.record.Incarnation {
+	for vm, before := range old {
+		known, ok := n.targets[vm]
+		switch {
+		case !ok && before.record.Era < n.era, ok && before.record.newer(known.record):
+			n.targets[vm] = before
+		case ok && before.record.Incarnation == known.record.Incarnation:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
 		}
 	}
 	for service, m := range n.moves {
-		if !listed[service] {
-			m.record, m.version = nil, 0
+		if !listed[movePrefix+service] && rows.Era(m.origin) >= n.era {
+			m.record, m.replica = nil, replica{}
+		}
+	}
+	for service, b := range n.baselines {
+		if !listed[baselinePrefix+service] && rows.Era(b.origin) >= n.era {
+			delete(n.baselines, service)
 		}
 	}
 	n.routingChanged = true
@@ -154,7 +170,7 @@
 	}
 	if service, ok := suffix(name, movePrefix); ok {
 		m := n.move(service)
-		m.record, m.version = nil, 0
+		m.record, m.replica = nil, replica{}
 	}
 }
 
@@ -163,12 +179,7 @@
 		return n.applyTarget(now, row)
 	}
 	if service, ok := suffix(row.Name, baselinePrefix); ok {
-		var record baselineRecord
-		if err := decodeRow(row, &record); err != nil {
-			return err
-		}
-		n.baselines[service] = record.Version
-		return nil
+		return n.applyBaseline(service, row)
 	}
 	if service, ok := suffix(row.Name, movePrefix); ok {
 		return n.applyMove(now, service, row)
@@ -184,13 +195,32 @@
 	if err != nil {
 		return err
 	}
-	if known, ok := n.targets[record.VM]; ok && known.record.newer(record) {
+	// A restore of the store gives all rows new versions. A record that is already
+	// known must keep its time of receipt, from which the cold time counts.
+	if known, ok := n.targets[record.VM]; ok && !record.newer(known.record) {
 		return nil
 	}
 	n.targets[record.VM] = knownTarget{record: record, received: now}
 	return nil
 }
 
+// applyBaseline applies a baseline row unless newer content is known.
+func (n *Node) applyBaseline(service string, row rows.Row) error {
+	var record baselineRecord
+	if err := decodeRow(row, &record); err != nil {
+		return err
+	}
+	b, ok := n.baselines[service]
+	if !ok {
+		b = &serviceBaseline{}
+		n.baselines[service] = b
+	}
+	if b.observe(row.Version, record.Era) {
+		b.record = record
+	}
+	return nil
+}
+
 // MergeTarget applies a target's record that comes directly from the target's
 // daemon, before it is in the store. It ignores records that are not newer.
 func (n *Node) MergeTarget(now time.Time, record *TargetRecord) {
@@ -328,11 +358,11 @@
 // service returns the service with all traffic at the baseline. No operator
 // ordered the versions of the other targets, so they receive none.
 func (n *Node) service(name string) *model.Service {
-	version, ok := n.baselines[name]
+	b, ok := n.baselines[name]
 	if !ok {
 		return &model.Service{Name: name}
 	}
-	return singleVersionService(name, version)
+	return singleVersionService(name, b.record.Version)
 }
 
 // singleVersionService returns the service with all traffic at one version.
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -36,6 +36,10 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Sequence counts the changes of the record since the start of the daemon.
 	Sequence uint64 `json:"sequence"`
+	// Era is the era of the store in which the daemon created the record. A daemon
+	// that starts after a restore of the store may continue from an older
+	// incarnation than others know.
+	Era uint64 `json:"era,omitempty"`
 	// State is "ready", "draining" or "gone".
 	State  string `json:"state"`
 	Domain string `json:"domain"`
@@ -59,6 +63,8 @@
 // no move is open.
 type baselineRecord struct {
 	Version string `json:"version"`
+	// Era is the era of the store in which the record was written.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Results of a move.
@@ -78,6 +84,8 @@
 	// AcceptedMS and FinishMS are times on the store's clock, in milliseconds.
 	AcceptedMS int64 `json:"accepted_ms"`
 	FinishMS   int64 `json:"finish_ms"`
+	// Era is the era of the store in which the record was written.
+	Era uint64 `json:"era,omitempty"`
 	// Epoch is the fencing token of the leader. Each new leader increments it.
 	Epoch uint64 `json:"epoch"`
 	// Leader and LeaderRun identify the leading daemon and its start.
@@ -137,7 +145,7 @@
 
 // newer reports whether the record replaces other, a record of the same VM.
 func (r *TargetRecord) newer(other *TargetRecord) bool {
-	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
+	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
 }
 
 // stateByName maps the states of records to those of endpoints. Any other name
--- /dev/null
+++ b/internal/mesh/restore.go
@@ -0,0 +1,87 @@
+package mesh
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+// replica relates the newest known content of a row to the row in the store,
+// which holds older content or does not exist after a restore of the store.
+type replica struct {
+	// origin is the version under which the newest known content was written.
+	origin uint64
+	// version is the version of the store's row, and storedOrigin the version under
+	// which its content was written. A version of an earlier era than the store's
+	// means that the row does not exist.
+	version, storedOrigin uint64
+}
+
+// observe records a row of the store whose content was written in the era, and
+// reports whether the content is the newest known.
+func (r *replica) observe(version, era uint64) bool {
+	if version < r.version {
+		return false
+	}
+	r.version, r.storedOrigin = version, rows.Version(era, rows.Counter(version))
+	if r.storedOrigin < r.origin {
+		return false
+	}
+	r.origin = r.storedOrigin
+	return true
+}
+
+// lostIn reports whether a store in the era lacks the newest known content.
+func (r *replica) lostIn(era uint64) bool {
+	versionEra := rows.Era(r.version)
+	return versionEra < era || versionEra == era && r.storedOrigin < r.origin
+}
+
+// Era returns the newest era of the store from which all rows are known.
+func (n *Node) Era() uint64 { return n.era }
+
+// SetEra records that the rows of the mesh table are known up to a version of the
+// era. In a later era than before, the rows that the restore has undone are
+// written again.
+func (n *Node) SetEra(now time.Time, era uint64) {
+	if era > n.era {
+		n.era, n.eraSince = era, now
+	}
+}
+
+// restoreCommits returns the writes of baselines and finished moves that a
+// restore of the store has undone. The daemons write in turn, so that usually
+// only the first one does. The leader of an open move writes its record.
+func (n *Node) restoreCommits(now time.Time) []Commit {
+	var commits []Commit
+	myTurn := func(seed uint64) bool {
+		return !n.storeUnavailable && now.Sub(n.eraSince) >= time.Duration(n.leaderRank(seed))*candidacyDelay
+	}
+	for _, service := range slices.Sorted(maps.Keys(n.moves)) {
+		m := n.moves[service]
+		finished := m.record != nil && m.record.Result != resultOpen
+		if finished && m.lostIn(n.era) && myTurn(m.record.Order) {
+			record := *m.record
+			record.Era = n.era
+			commits = append(commits, n.recordCommit(now, m, &record, "restore move "+service)...)
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(n.baselines)) {
+		b := n.baselines[service]
+		if m := n.moves[service]; m != nil && m.record != nil && m.record.Result == resultDone && m.lostIn(n.era) {
+			// The write of the move's record includes the baseline.
+			continue
+		}
+		if !b.lostIn(n.era) || !myTurn(xxhash.Sum64String(service)) {
+			continue
+		}
+		row := encodeRow(meshKey(baselinePrefix+service), baselineRecord{Version: b.record.Version, Era: n.era})
+		tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: b.version}}, Writes: []rows.Row{row}}
+		commits = append(commits, n.baselineCommit(now, service, tx, "restore baseline "+service)...)
+	}
+	return commits
+}
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -37,6 +37,7 @@
 	storeRejectedVM string
 	stored          map[rows.Key]rows.Row
 	version         uint64
+	era             uint64
 	statuses        []mesh.Status
 	writes          int
 	sampledAt       time.Time
@@ -83,7 +84,11 @@
 
 func (f *fleet) commit(tx rows.Transaction) (uint64, error) {
 	for _, c := range tx.Conditions {
-		if f.stored[c.Key].Version != c.Version {
+		required := c.Version
+		if rows.Era(required) < f.era || rows.Counter(required) == 0 {
+			required = 0
+		}
+		if f.stored[c.Key].Version != required {
 			return 0, &rows.ConflictError{Cause: fault.New(fault.ConditionFailed, "conflict")}
 		}
 	}
@@ -105,6 +110,37 @@
 	return f.version
 }
 
+// backup is a copy of the store's rows.
+type backup struct {
+	rows    []rows.Row
+	version uint64
+}
+
+func (f *fleet) backup() backup { return backup{storedRows(f), f.version} }
+
+// restore replaces the rows of the store by those of the backup in a new era and
+// resets all nodes that are not partitioned.
+func (f *fleet) restore(b backup) {
+	f.era++
+	f.version = rows.Version(f.era, b.version)
+	f.stored = map[rows.Key]rows.Row{}
+	for _, row := range b.rows {
+		row.Version = rows.Version(f.era, row.Version)
+		f.stored[row.Key] = row
+	}
+	for vm := range f.nodes {
+		if !f.partitioned[vm] {
+			f.reset(vm)
+		}
+	}
+}
+
+// reset resets the node to the store's rows.
+func (f *fleet) reset(vm string) {
+	f.nodes[vm].SetEra(f.now, f.era)
+	Expect(f.nodes[vm].Reset(f.now, storedRows(f))).To(BeEmpty())
+}
+
 // run advances the clock by d and ticks all nodes at each interval.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(mesh.TickInterval) {
@@ -175,6 +211,8 @@
 type moveRow struct {
 	Order  uint64 `json:"order"`
 	Leader string `json:"leader"`
+	Epoch  uint64 `json:"epoch"`
+	Result string `json:"result"`
 }
 
 func (f *fleet) moveRow() moveRow {
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -70,6 +70,7 @@
 	var commits []Commit
 	commits = append(commits, n.baselineCommits(now)...)
 	commits = append(commits, n.crashCommits(now)...)
+	commits = append(commits, n.restoreCommits(now)...)
 	var reports []Report
 	for _, service := range slices.Sorted(maps.Keys(n.orders)) {
 		m := n.move(service)
@@ -174,7 +175,7 @@
 			return
 		}
 		row.Version = version
-		if n.applyMove(now, m.service, row) != nil || m.version != version {
+		if n.applyMove(now, m.service, row) != nil || m.version != version || m.storedOrigin != m.origin {
 			return
 		}
 		n.routingChanged = true
@@ -186,30 +187,49 @@
 	})
 }
 
-// stepCommit returns the write of the leader's pending record, if there is one.
+// stepCommit returns the write of the leader's pending record, if there is one,
+// or of the current record if a restore of the store has undone it.
 func (n *Node) stepCommit(now time.Time, m *serviceMove) []Commit {
 	l := m.leader
+	if l.pendingRecord == nil && m.lostIn(n.era) {
+		record := *m.record
+		l.pendingRecord = &record
+	}
 	if l.pendingRecord == nil {
 		return nil
 	}
-	pendingRecord := *l.pendingRecord
-	row := encodeRow(meshKey(movePrefix+m.service), pendingRecord)
+	l.pendingRecord.Era = n.era
+	record := *l.pendingRecord
+	return n.recordCommit(now, m, &record, "step "+m.service)
+}
+
+// recordCommit returns the write of a move's record. It also writes the status if
+// the move has ended or a restore of the store has undone its earlier write.
+func (n *Node) recordCommit(now time.Time, m *serviceMove, record *moveRecord, purpose string) []Commit {
+	row := encodeRow(meshKey(movePrefix+m.service), record)
 	tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: m.version}}, Writes: []rows.Row{row}}
+	var baseline rows.Row
 	var status *Status
-	switch pendingRecord.Result {
+	switch record.Result {
+	case resultOpen:
+		if m.lostIn(n.era) {
+			status = &Status{Service: m.service, Version: record.To, State: StatusRunning}
+		}
 	case resultDone:
-		tx.Writes = append(tx.Writes, encodeRow(meshKey(baselinePrefix+m.service), baselineRecord{Version: pendingRecord.To}))
-		status = &Status{Service: m.service, Version: pendingRecord.To, State: StatusDone}
+		baseline = encodeRow(meshKey(baselinePrefix+m.service), baselineRecord{Version: record.To, Era: record.Era})
+		tx.Writes = append(tx.Writes, baseline)
+		status = &Status{Service: m.service, Version: record.To, State: StatusDone}
 	case resultTakenBack:
-		status = &Status{Service: m.service, Version: pendingRecord.To, State: StatusTakenBack}
+		status = &Status{Service: m.service, Version: record.To, State: StatusTakenBack}
 	}
-	return n.startWrite(now, "step "+m.service, tx, status, func(now time.Time, version uint64, err error) {
+	return n.startWrite(now, purpose, tx, status, func(now time.Time, version uint64, err error) {
 		if err != nil {
 			return
 		}
-		row.Version = version
-		if n.applyMove(now, m.service, row) == nil && pendingRecord.Result == resultDone {
-			n.baselines[m.service] = pendingRecord.To
+		row.Version, baseline.Version = version, version
+		if n.applyMove(now, m.service, row) == nil && record.Result == resultDone {
+			// The row was encoded above, so it can be decoded.
+			_ = n.applyBaseline(m.service, baseline)
 		}
 		n.routingChanged = true
 	})
@@ -236,12 +256,21 @@
 		return nil
 	}
 	n.baselineProposedAt[own.Service] = now
-	row := encodeRow(meshKey(baselinePrefix+own.Service), baselineRecord{Version: own.Version})
+	row := encodeRow(meshKey(baselinePrefix+own.Service), baselineRecord{Version: own.Version, Era: n.era})
 	tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key}}, Writes: []rows.Row{row}}
-	service, version := own.Service, own.Version
-	return n.startWrite(now, "baseline "+service, tx, nil, func(_ time.Time, _ uint64, err error) {
-		if err == nil {
-			n.baselines[service] = version
+	return n.baselineCommit(now, own.Service, tx, "baseline "+own.Service)
+}
+
+// baselineCommit returns a transaction whose first write is the baseline of the
+// service.
+func (n *Node) baselineCommit(now time.Time, service string, tx rows.Transaction, purpose string) []Commit {
+	row := tx.Writes[0]
+	return n.startWrite(now, purpose, tx, nil, func(_ time.Time, version uint64, err error) {
+		if err != nil {
+			return
+		}
+		row.Version = version
+		if n.applyBaseline(service, row) == nil {
 			n.routingChanged = true
 		}
 	})
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -79,7 +79,7 @@
 	copy *table
 	// reset applies a complete list of the table, and change applies a set of
 	// changes. They run in the event loop.
-	reset            func(now time.Time, all []rows.Row)
+	reset            func(now time.Time, snapshot rows.Snapshot)
 	change           func(now time.Time, changes []rows.Change)
 	storeUnavailable bool
 	backoff          backoff
@@ -105,7 +105,7 @@
 		}
 		cause = causeCatchUp
 		f.d.loop.post(func(now time.Time) {
-			f.reset(now, snapshot.Rows)
+			f.reset(now, snapshot)
 			f.copy.advance(snapshot.Version)
 			f.d.tables.notify()
 		})
@@ -280,8 +280,8 @@
 // operatorFollower returns the follower of the operators' table.
 func (d *Daemon) operatorFollower() *follower {
 	return &follower{d: d, table: d.config.Operators.Table(), copy: &d.tables.operators,
-		reset: func(now time.Time, all []rows.Row) {
-			for _, row := range d.tables.operators.merge(all) {
+		reset: func(now time.Time, snapshot rows.Snapshot) {
+			for _, row := range d.tables.operators.merge(snapshot.Rows) {
 				d.applyOperatorRow(row)
 			}
 			d.operatorsLoaded = true
@@ -343,11 +343,12 @@
 // meshFollower returns the follower of the mesh table.
 func (d *Daemon) meshFollower() *follower {
 	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh,
-		reset: func(now time.Time, all []rows.Row) {
-			d.logRefusedRows(d.node.Reset(now, all))
+		reset: func(now time.Time, snapshot rows.Snapshot) {
+			d.enterEra(now, snapshot.Version)
+			d.logRefusedRows(d.node.Reset(now, snapshot.Rows))
 			d.tables.mesh.clear()
-			d.tables.mesh.merge(all)
-			for _, row := range all {
+			d.tables.mesh.merge(snapshot.Rows)
+			for _, row := range snapshot.Rows {
 				d.targetRow.observe(row)
 			}
 			d.markMeshLoaded()
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -92,7 +92,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		var changes atomic.Int64
-		f := &follower{d: d, table: "t", copy: &d.tables.operators, reset: func(time.Time, []rows.Row) {}, change: func(time.Time, []rows.Change) { changes.Add(1) }}
+		f := &follower{d: d, table: "t", copy: &d.tables.operators, reset: func(time.Time, rows.Snapshot) {}, change: func(time.Time, []rows.Change) { changes.Add(1) }}
 		go d.run(ctx)
 		go f.run(ctx, true)
 		time.Sleep(700 * time.Millisecond)
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -234,8 +234,12 @@
 	}
 	d.loop.call(func(now time.Time) {
 		d.applyGossip(now, response)
+		restored := d.enterEra(now, response.Mesh.Version)
 		d.tables.operators.advance(response.Operators.Version)
 		d.tables.mesh.advance(response.Mesh.Version)
+		if restored {
+			d.targetRow.update()
+		}
 	})
 	if len(response.Operators.Rows)+len(response.Mesh.Rows) > 0 {
 		sleep(ctx, time.Until(pollStart.Add(longPollSpacing)))
--- a/internal/sidecar/response_cache.go
+++ b/internal/sidecar/response_cache.go
@@ -18,7 +18,7 @@
 	requestOperators, requestMesh       uint64
 	operatorChanges, meshChanges        uint64
 	operatorsComplete, meshComplete     uint64
-	ownSequence, ownIncarnation         uint64
+	ownSequence, ownIncarnation, ownEra uint64
 	reading, storeUnavailable, longPoll bool
 }
 
@@ -32,7 +32,7 @@
 		reading: response.Reading, storeUnavailable: response.StoreUnavailable, longPoll: request.WaitMS > 0,
 	}
 	if response.Own != nil {
-		key.ownSequence, key.ownIncarnation = response.Own.Sequence, response.Own.Incarnation
+		key.ownSequence, key.ownIncarnation, key.ownEra = response.Own.Sequence, response.Own.Incarnation, response.Own.Era
 	}
 	return key
 }
--- /dev/null
+++ b/internal/sidecar/restore.go
@@ -0,0 +1,35 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+// enterEra records that the rows of the mesh table are known up to the version. It
+// reports whether the store was restored from a backup since the rows were loaded
+// before, so that the row of the target may have to be written again. It runs in
+// the event loop.
+func (d *Daemon) enterEra(now time.Time, version uint64) bool {
+	era, known := rows.Era(version), d.node.Era()
+	if era <= known {
+		return false
+	}
+	d.node.SetEra(now, era)
+	if d.tables.mesh.completeVersion == 0 {
+		return false
+	}
+	d.logger.Warn().Str("event", "store-restored").Uint64("from", known).Uint64("to", era).Uint64("version", version).Msg("the store was restored from a backup; lost rows are written again")
+	d.targetRow.enterEra(era)
+	return true
+}
+
+// enterEra marks the row as missing in the store unless it was observed or written
+// in the era.
+func (w *targetRowWriter) enterEra(era uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if rows.Era(w.storedVersion) < era {
+		w.storedVersion, w.stored = rows.Version(era, 0), nil
+	}
+}
--- a/internal/sidecar/target_row.go
+++ b/internal/sidecar/target_row.go
@@ -93,7 +93,7 @@
 	t := d.target
 	record := &mesh.TargetRecord{
 		VM: d.config.VM, Incarnation: w.baseIncarnation + 1 + t.incarnation, State: "gone", Domain: d.config.Domain,
-		Inbound: d.config.Inbound, Peer: d.config.Peer, LinkRate: d.config.LinkRate,
+		Inbound: d.config.Inbound, Peer: d.config.Peer, LinkRate: d.config.LinkRate, Era: d.node.Era(),
 	}
 	if t.state != 0 {
 		record.Service, record.Version, record.Instance, record.Slots = t.current.Service, t.current.Version, t.current.Instance, t.current.Slots
@@ -168,7 +168,7 @@
 func (w *targetRowWriter) handleConflict(storedRows []rows.Row) {
 	if len(storedRows) == 0 {
 		w.mu.Lock()
-		w.storedVersion, w.stored = 0, nil
+		w.storedVersion, w.stored = rows.Version(rows.Era(w.storedVersion), 0), nil
 		w.mu.Unlock()
 	}
 	for _, row := range storedRows {
@@ -194,11 +194,12 @@
 	return w.desired
 }
 
-// sameRecord reports whether two records are equal apart from the sequence and
-// the cold time, which decreases by itself.
+// sameRecord reports whether two records are equal apart from the sequence, the
+// era and the cold time, which decreases by itself.
 func sameRecord(a, b *mesh.TargetRecord) bool {
 	x, y := *a, *b
 	x.ColdMS, y.ColdMS = 0, 0
 	x.Sequence, y.Sequence = 0, 0
+	x.Era, y.Era = 0, 0
 	return x == y
 }
