Recognize orders that are written again after a restore of the store

What callers saw: a finished move would start again, and a version that was taken back would get requests again, once operators wrote their order again after a restore of the store. An open move stopped until then, and another one started in its place.

Cause: an order was identified by the version of its row, which changes when the row is written again, and the record of the move refers to that version. The backup may also hold an order that a later one has superseded.

A row of a later era with the content of the newest order, or of the order that the move's record refers to, is now the same order, and keeps the revision that the record has. A row with the content and the counter of an earlier order comes from the backup and is not followed. A row that repeats an order within one era is a new order, as before.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -107,6 +107,7 @@
 		m.leaderContactAt = now
 	}
 	m.record = record
+	n.identifyOrder(service)
 	if l := m.leader; l != nil && (record.Epoch != l.epoch || record.Leader != n.self.VM || record.LeaderRun != n.self.Run) {
 		m.leader = nil
 	}
@@ -117,7 +118,7 @@
 }
 
 // open reports whether the move is in progress for the newest order.
-func (m *serviceMove) open(orders map[string]Order) bool {
+func (m *serviceMove) open(orders map[string]knownOrder) bool {
 	return m.record != nil && m.record.Result == resultOpen && m.record.Order == orders[m.service].Revision
 }
 
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -30,7 +30,7 @@
 type Node struct {
 	self      Self
 	config    *Configuration
-	orders    map[string]Order
+	orders    map[string]knownOrder
 	targets   map[string]knownTarget
 	baselines map[string]*serviceBaseline
 	moves     map[string]*serviceMove
@@ -72,7 +72,7 @@
 // NewNode returns a node without configuration, orders or rows.
 func NewNode(self Self) *Node {
 	return &Node{
-		self: self, orders: map[string]Order{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
+		self: self, orders: map[string]knownOrder{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, unwrittenCrashes: map[uint64]uint32{},
 		brakes: map[uint64]string{}, writesInProgress: map[string]bool{}, retryAt: map[string]time.Time{},
 		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{},
@@ -96,17 +96,6 @@
 	return true
 }
 
-// SetOrder stores an order unless the service already has this one or a newer
-// one, and reports whether it did.
-func (n *Node) SetOrder(o Order) bool {
-	if n.orders[o.Service].Revision >= o.Revision {
-		return false
-	}
-	n.orders[o.Service] = o
-	n.routingChanged = true
-	return true
-}
-
 // Reset replaces all state that comes from the mesh table by the rows, except
 // newer records and those that a restore of the store has undone. It skips rows
 // that cannot be decoded and returns their errors.
--- a/internal/mesh/restore_test.go
+++ b/internal/mesh/restore_test.go
@@ -11,6 +11,141 @@
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
+var _ = Describe("moves after a restore of the store", func() {
+	const within = 15 * time.Second
+	var f *fleet
+	var before backup
+	BeforeEach(func() {
+		f = newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2", "vm3": "v2"})
+		f.samplesOf = traffic(0)
+		// With v2 ordered, only v1 may become the baseline.
+		f.run(time.Second)
+		f.put(rows.Row{Key: rows.Key{Table: mesh.Table, Name: "baseline/order"}, Value: []byte(`{"version":"v1"}`)})
+		before = f.backup()
+	})
+	shares := func(vm string) map[string]uint32 { return f.nodes[vm].Routing().State.Services["order"].Shares }
+	expectNoMove := func(baseline string) {
+		GinkgoHelper()
+		for vm, n := range f.nodes {
+			order, _ := n.OpenMove("order")
+			Expect(order).To(BeZero(), vm)
+			Expect(shares(vm)).To(HaveKey(baseline), vm)
+		}
+	}
+
+	// Guards against a finished or taken-back move that starts again when its order
+	// is written again, and whose status operators no longer find.
+	DescribeTable("keep their result", func(failing float64, status mesh.StatusState, result, baseline string) {
+		f.samplesOf = traffic(failing)
+		f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		Expect(f.states()[len(f.states())-1]).To(Equal(status))
+		f.restore(before)
+		f.statuses, f.writes = nil, 0
+		f.run(2 * time.Second)
+		Expect(f.writes).To(Equal(1), "one daemon writes the lost rows")
+		Expect(f.states()).To(Equal([]mesh.StatusState{status}))
+		Expect(f.moveRow().Result).To(Equal(result))
+		expectNoMove(baseline)
+		f.version++
+		for _, n := range f.nodes {
+			Expect(n.SetOrder(mesh.Order{Service: "order", Version: "v2", Within: within, Revision: f.version})).To(BeFalse(), "the order is known")
+		}
+		f.run(20 * time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{status}))
+		expectNoMove(baseline)
+
+		f.startNode("vm0", 99)
+		f.nodes["vm0"].SetConfiguration(configuration(1))
+		f.reset("vm0")
+		f.nodes["vm0"].SetOrder(mesh.Order{Service: "order", Version: "v2", Within: within, Revision: f.version})
+		f.run(5 * time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{status}), "a daemon that starts later knows the result too")
+		expectNoMove(baseline)
+
+		f.samplesOf = traffic(0)
+		f.orderMove("v2", within)
+		f.run(time.Second)
+		Expect(f.states()).To(HaveLen(2), "a later order of the same era starts a move")
+	},
+		Entry("that finished", 0.0, mesh.StatusDone, "done", "v2"),
+		Entry("that were taken back", 0.9, mesh.StatusTakenBack, "taken-back", "v1"),
+	)
+
+	// Guards against a move that stops or starts again because its record and its
+	// order are lost.
+	It("go on under the same leader", func() {
+		f.orderMove("v2", within)
+		f.run(5 * time.Second)
+		record := f.moveRow()
+		f.restore(before)
+		f.statuses = nil
+		f.run(time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{mesh.StatusRunning}))
+		f.orderMove("v2", within)
+		f.run(14 * time.Second)
+		Expect(f.states()).To(Equal([]mesh.StatusState{mesh.StatusRunning, mesh.StatusDone}))
+		Expect(f.moveRow().Epoch).To(Equal(record.Epoch))
+		Expect(f.moveRow().Leader).To(Equal(record.Leader))
+		expectNoMove("v2")
+	})
+
+	// Guards against a move that stops because its leader fails together with the
+	// store.
+	It("go on under another leader when the leader is lost as well", func() {
+		f.orderMove("v2", within)
+		f.run(5 * time.Second)
+		leader := leaderOf(f)
+		f.partitioned[leader] = true
+		f.restore(before)
+		f.orderMove("v2", within)
+		f.run(18 * time.Second)
+		Expect(leaderOf(f)).NotTo(Equal(leader))
+		Expect(f.states()[len(f.states())-1]).To(Equal(mesh.StatusDone))
+	})
+
+	// Guards against an order in the backup that undoes the later one, which is
+	// written again only after it was read.
+	It("do not follow an order of the backup that a later one has superseded", func() {
+		first := f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		before = f.backup()
+		f.orderMove("v1", within)
+		f.run(20 * time.Second)
+		f.restore(before)
+		f.statuses = nil
+		for _, n := range f.nodes {
+			Expect(n.SetOrder(mesh.Order{Service: "order", Version: "v2", Within: within, Revision: rows.Version(f.era, first)})).To(BeFalse())
+		}
+		f.run(5 * time.Second)
+		expectNoMove("v1")
+		f.orderMove("v1", within)
+		f.run(20 * time.Second)
+		expectNoMove("v1")
+		Expect(f.states()).NotTo(ContainElement(mesh.StatusRunning))
+		f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		expectNoMove("v2")
+	})
+
+	// Guards against a result that is lost because a second restore follows before
+	// or after the rows were written again.
+	DescribeTable("keep their result after two restores", func(between time.Duration) {
+		f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		f.restore(before)
+		f.run(between)
+		f.restore(before)
+		f.run(2 * time.Second)
+		Expect(f.moveRow().Result).To(Equal("done"))
+		f.orderMove("v2", within)
+		f.statuses = nil
+		f.run(5 * time.Second)
+		Expect(f.states()).To(BeEmpty())
+		expectNoMove("v2")
+	}, Entry("in a row", time.Duration(0)), Entry("two seconds apart", 2*time.Second))
+})
+
 var _ = Describe("rows after a restore of the store", func() {
 	var n *mesh.Node
 	record := func(vm string, era, incarnation, sequence uint64, state string) *mesh.TargetRecord {
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -75,7 +75,7 @@
 	for _, service := range slices.Sorted(maps.Keys(n.orders)) {
 		m := n.move(service)
 		if hasClock {
-			if record := n.candidateRecord(now, storeClock, n.orders[service]); record != nil {
+			if record := n.candidateRecord(now, storeClock, n.orders[service].Order); record != nil {
 				commits = append(commits, n.leadCommit(now, m, record, storeClock)...)
 			}
 		}
