Follow a restore of the store with all copies of a table at once

What callers saw: in specs, a daemon noticed a restore with the watch of one table, while that of the other table stayed pending for up to 20 s; and a list that was sent before the restore replaced the rows that another daemon had sent since.

Cause: only a store that responds again after failures ended the other watch, a list was applied without a comparison with the copy, and a daemon that reads from another one was told of newer rows only, so a backup without rows of a table told it nothing.

Evidence: the specs fail when the part of the fix is removed.

A list of a later era now ends the pending watches, a list of an earlier era than the copy's is not applied, and the reader's version is passed on when its era is later.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -105,15 +105,25 @@
 		}
 		cause = causeCatchUp
 		f.d.loop.post(func(now time.Time) {
+			// Another daemon may have sent the rows of a later era meanwhile.
+			if rows.Era(snapshot.Version) < rows.Era(f.copy.completeVersion) {
+				return
+			}
 			f.reset(now, snapshot)
 			f.copy.advance(snapshot.Version)
 			f.d.tables.notify()
 		})
+		if rows.Era(snapshot.Version) > rows.Era(version) {
+			// The pending watch of the other table does not notice the restore
+			// before its wait ends.
+			f.d.recovery.signal()
+		}
+		version = snapshot.Version
 		if !list {
 			f.awaitRole(ctx)
 		}
 		list = true
-		f.watch(ctx, snapshot.Version)
+		f.watch(ctx, version)
 	}
 }
 
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -265,7 +265,7 @@
 		var hasNewer bool
 		var changed <-chan struct{}
 		d.loop.call(func(time.Time) {
-			hasNewer = d.tables.operators.newestVersion() > message.Operators.Version || d.tables.mesh.newestVersion() > message.Mesh.Version
+			hasNewer = d.tables.operators.newerThan(message.Operators.Version) || d.tables.mesh.newerThan(message.Mesh.Version)
 			changed = d.tables.changed
 		})
 		if hasNewer || d.updatesUnavailable() || !d.reading.Load() {
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -1,19 +1,124 @@
 package sidecar
 
 import (
+	"context"
+	"sync/atomic"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/logging"
 	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
+// restoredStore is a store that is restored when restore is called. A pending
+// watch does not notice it, except that of the operators' table.
+type restoredStore struct {
+	era         atomic.Uint64
+	restored    chan struct{}
+	meshWatches atomic.Int64
+}
+
+func newRestoredStore() *restoredStore { return &restoredStore{restored: make(chan struct{})} }
+
+func (s *restoredStore) restore() {
+	s.era.Add(1)
+	close(s.restored)
+}
+
+func (s *restoredStore) List(context.Context, string) (rows.Snapshot, error) {
+	return rows.Snapshot{Version: rows.Version(s.era.Load(), 3)}, nil
+}
+
+func (s *restoredStore) Watch(ctx context.Context, table string, after uint64, _ time.Duration) ([]rows.Change, uint64, error) {
+	stale := fault.New(fault.Stale, "the store was restored")
+	if rows.Era(after) < s.era.Load() {
+		return nil, after, stale
+	}
+	restored := s.restored
+	if table == mesh.Table {
+		s.meshWatches.Add(1)
+		restored = nil
+	}
+	select {
+	case <-restored:
+		if rows.Era(after) < s.era.Load() {
+			return nil, after, stale
+		}
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	return nil, after, fault.Wrap(ctx.Err(), fault.Unavailable, "canceled")
+}
+
+func (s *restoredStore) Commit(context.Context, rows.Transaction) (uint64, error) {
+	return 0, fault.New(fault.Unavailable, "the store accepts no writes")
+}
+
+func (s *restoredStore) Clock() (time.Duration, bool) { return 0, false }
+
 var _ = Describe("a restore of the store", func() {
+	newDaemon := func(store rows.Store) *Daemon {
+		return New(Config{VM: "a", Store: store, Operators: noOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
+	}
+
+	// Guards against a watch that stays pending for up to 20 s after the restore,
+	// while the watch of the other table has noticed it.
+	It("that one watch notices ends the watch of the other table", func() {
+		store := newRestoredStore()
+		d := newDaemon(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		go d.operatorFollower().run(ctx, true)
+		go d.meshFollower().run(ctx, true)
+		Eventually(store.meshWatches.Load, specTimeout).Should(Equal(int64(1)))
+		store.restore()
+		Eventually(store.meshWatches.Load, time.Second).Should(Equal(int64(2)))
+		era := func() (era uint64) {
+			d.loop.call(func(time.Time) { era = d.node.Era() })
+			return era
+		}
+		Expect(era()).To(Equal(uint64(1)))
+	})
+
+	// Guards against a list from before the restore that replaces rows that another
+	// daemon has sent since.
+	It("makes lists from before it unusable", func() {
+		store := newRestoredStore()
+		d := newDaemon(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var resets atomic.Int64
+		copied := newTable()
+		copied.advance(rows.Version(1, 2))
+		f := &follower{d: d, table: mesh.Table, copy: &copied, reset: func(time.Time, rows.Snapshot) { resets.Add(1) }}
+		go d.run(ctx)
+		go f.run(ctx, true)
+		Eventually(store.meshWatches.Load, specTimeout).Should(BeNumerically(">=", 1))
+		d.loop.call(func(time.Time) {})
+		Expect(resets.Load()).To(BeZero())
+	})
+
+	// Guards against daemons that never learn of a restore because the backup holds
+	// no rows of the table.
+	It("is passed on to other daemons without rows", func() {
+		t := newTable()
+		t.merge([]rows.Row{{Key: rows.Key{Name: "x"}, Version: rows.Version(1, 9)}})
+		t.advance(rows.Version(1, 9))
+		Expect(t.newerThan(rows.Version(1, 9))).To(BeFalse())
+		t.advance(rows.Version(2, 4))
+		Expect(t.newerThan(rows.Version(1, 9))).To(BeTrue())
+		Expect(t.newerThan(rows.Version(2, 4))).To(BeFalse())
+	})
+
 	// Guards against a target row that stays lost because its writer takes it for
 	// stored, also when the response of an earlier write arrives late.
 	It("makes the row of the target missing unless it was observed since", func() {
-		w := newTargetRowWriter(New(Config{VM: "a", Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")}))
+		w := newTargetRowWriter(newDaemon(newRestoredStore()))
 		record := &mesh.TargetRecord{VM: "a", Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
 		w.recordWritten(record, rows.Version(0, 8))
 		w.enterEra(1)
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -76,6 +76,12 @@
 	return version
 }
 
+// newerThan reports whether a row is newer than the version, or the copy is
+// complete in a later era.
+func (t *table) newerThan(version uint64) bool {
+	return t.newestVersion() > version || rows.Era(t.completeVersion) > rows.Era(version)
+}
+
 // rowsAfter returns the rows that are newer than the version.
 func (t *table) rowsAfter(version uint64) []rows.Row {
 	var newer []rows.Row
