Serve the newest configuration to other daemons after a restore of the store

What callers saw: a daemon that gets its rows from another daemon, such as one that starts while the store is down, would apply the older configuration of the backup, although the other daemon had a newer one in force.

Cause: the copy of the operators' table takes the row of the backup, which has a version of the later era, and is what other daemons are served.

Evidence: the spec gets configuration 3 in place of 5 without this commit.

The row in the copy keeps the value of the configuration in force while the store holds an older one.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -113,7 +113,10 @@
 	// of the mesh table have been loaded; both belong to the event loop.
 	operatorsLoaded bool
 	meshLoaded      bool
-	ready           atomic.Bool
+	// configurationValue is the row value of the configuration in force; it belongs
+	// to the event loop.
+	configurationValue []byte
+	ready              atomic.Bool
 	// stopping is true from the stop request on, so that callers leave. leaving is
 	// true from leaveNotice before the listeners close on, so that other daemons send
 	// no more requests.
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -341,8 +341,10 @@
 				// The connection limit of the target comes from the configuration.
 				d.serveTarget()
 			}
+			d.configurationValue = row.Value
 			d.logger.Info().Str("event", "config-applied").Uint64("config", v.Version).Uint64("version", row.Version).Int("routes", len(v.Routes)).Int("bytes", len(row.Value)).Msg("configuration applied")
 		}
+		d.keepNewestConfiguration(row, v)
 	case *mesh.Order:
 		if d.node.SetOrder(*v) {
 			d.logger.Info().Str("event", "move-ordered").Str("service", v.Service).Str("to", v.Version).Dur("within", v.Within).Uint64("order", v.Revision).Msg("move ordered")
--- a/internal/sidecar/restore.go
+++ b/internal/sidecar/restore.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
@@ -33,3 +34,13 @@
 		w.storedVersion, w.stored = rows.Version(era, 0), nil
 	}
 }
+
+// keepNewestConfiguration puts the configuration in force in place of an older one
+// that a restore of the store brought back, so that other daemons are served the
+// newest one. It runs in the event loop.
+func (d *Daemon) keepNewestConfiguration(row rows.Row, c *mesh.Configuration) {
+	if c.Version < d.node.Configuration().Version && d.configurationValue != nil {
+		row.Value = d.configurationValue
+		d.tables.operators.replace(row)
+	}
+}
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -60,9 +61,17 @@
 
 func (s *restoredStore) Clock() (time.Duration, bool) { return 0, false }
 
+// versionedOperators decodes the configuration's version from the row's value.
+type versionedOperators struct{ noOperators }
+
+func (versionedOperators) Decode(row rows.Row) (any, error) {
+	version, err := strconv.ParseUint(string(row.Value), 10, 64)
+	return &mesh.Configuration{Version: version}, err
+}
+
 var _ = Describe("a restore of the store", func() {
 	newDaemon := func(store rows.Store) *Daemon {
-		return New(Config{VM: "a", Store: store, Operators: noOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
+		return New(Config{VM: "a", Store: store, Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
 	}
 
 	// Guards against a watch that stays pending for up to 20 s after the restore,
@@ -115,6 +124,25 @@
 		Expect(t.newerThan(rows.Version(2, 4))).To(BeFalse())
 	})
 
+	// Guards against daemons that get the older configuration of the backup from
+	// this daemon.
+	It("does not make the daemon serve an older configuration to others", func() {
+		d := newDaemon(newRestoredStore())
+		key := rows.Key{Table: "operators", Name: "config"}
+		apply := func(value string, version uint64) {
+			for _, row := range d.tables.operators.merge([]rows.Row{{Key: key, Value: []byte(value), Version: version}}) {
+				d.applyOperatorRow(row)
+			}
+		}
+		apply("5", rows.Version(0, 7))
+		apply("3", rows.Version(1, 2))
+		Expect(d.node.Configuration().Version).To(Equal(uint64(5)))
+		Expect(string(d.tables.operators.rows[key].Value)).To(Equal("5"))
+		Expect(d.tables.operators.rows[key].Version).To(Equal(rows.Version(1, 2)))
+		apply("6", rows.Version(1, 3))
+		Expect(string(d.tables.operators.rows[key].Value)).To(Equal("6"))
+	})
+
 	// Guards against a target row that stays lost because its writer takes it for
 	// stored, also when the response of an earlier write arrives late.
 	It("makes the row of the target missing unless it was observed since", func() {
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -55,6 +55,12 @@
 	return newer
 }
 
+// replace stores the row whether or not it is newer.
+func (t *table) replace(row rows.Row) {
+	t.rows[row.Key] = row
+	t.changeCount++
+}
+
 // remove removes a row.
 func (t *table) remove(key rows.Key) {
 	delete(t.rows, key)
