Let the leader of a move write its record first after a restore of the store

Cause: the store does not respond to the leader during the outage, so the others may take over at its end. The leader's first write fails because of its condition and is retried 200 ms later, and meanwhile another daemon leads and collects the evidence anew.

The spec fails without the delay.

For 700 ms after a daemon has noticed the restore it does not take over, except from its own earlier run, and a failed write is retried at once.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -22,6 +22,11 @@
 	// leaderTimeout is how long a daemon's evidence may fail to reach the
 	// leader before that daemon may take over. It covers three reports.
 	leaderTimeout = 1500 * time.Millisecond
+	// restoredLeaderDelay is the time after a restore of the store in which only the
+	// leader of a move writes its record. The store did not respond to the leader
+	// before, so the other daemons would take over, and would collect the evidence
+	// anew. A daemon notices the restore up to half a second after the first one.
+	restoredLeaderDelay = 700 * time.Millisecond
 	// maxEvidenceAge is the age of a daemon's last report up to which its
 	// evidence counts as live.
 	maxEvidenceAge = 1500 * time.Millisecond
@@ -204,7 +209,7 @@
 		return nil
 	}
 	restarted := m.record.Leader == n.self.VM && m.record.LeaderRun != n.self.Run
-	if !restarted && now.Sub(m.leaderContactAt) < leaderTimeout+delay {
+	if !restarted && (now.Sub(m.leaderContactAt) < leaderTimeout+delay || now.Sub(n.eraSince) < restoredLeaderDelay) {
 		return nil
 	}
 	next := *m.record
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -50,6 +50,8 @@
 func (n *Node) SetEra(now time.Time, era uint64) {
 	if era > n.era {
 		n.era, n.eraSince = era, now
+		// Writes that failed because of their conditions have other ones now.
+		clear(n.retryAt)
 	}
 }
 
--- a/internal/mesh/restore_test.go
+++ b/internal/mesh/restore_test.go
@@ -90,6 +90,33 @@
 		expectNoMove("v2")
 	})
 
+	// Guards against another daemon that takes over before the leader has noticed the
+	// restore, and collects the evidence anew: a move missed its finish time by 3 s.
+	It("go on under the same leader after an outage", func() {
+		f.orderMove("v2", within)
+		f.run(5 * time.Second)
+		record := f.moveRow()
+		f.storeDown = true
+		for _, n := range f.nodes {
+			n.SetStoreUnavailable(true)
+		}
+		f.run(2 * time.Second)
+		f.storeDown = false
+		f.partitioned[record.Leader] = true
+		f.restore(before)
+		for _, n := range f.nodes {
+			n.SetStoreUnavailable(false)
+		}
+		f.run(300 * time.Millisecond)
+		delete(f.partitioned, record.Leader)
+		f.reset(record.Leader)
+		f.orderMove("v2", within)
+		f.run(7 * time.Second)
+		Expect(f.moveRow().Leader).To(Equal(record.Leader))
+		Expect(f.moveRow().Epoch).To(Equal(record.Epoch))
+		Expect(f.states()[len(f.states())-1]).To(Equal(mesh.StatusDone))
+	})
+
 	// Guards against a move that stops because its leader fails together with the
 	// store.
 	It("go on under another leader when the leader is lost as well", func() {
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -38,9 +38,11 @@
 	stored          map[rows.Key]rows.Row
 	version         uint64
 	era             uint64
-	statuses        []mesh.Status
-	writes          int
-	sampledAt       time.Time
+	// storeDown is true while the store rejects all writes.
+	storeDown bool
+	statuses  []mesh.Status
+	writes    int
+	sampledAt time.Time
 	// samplesOf returns the samples that the VM's daemon takes in one interval.
 	samplesOf func(vm string, order uint64, permille uint32) []move.Sample
 }
@@ -163,7 +165,7 @@
 	commits, reports := n.Tick(f.now, f.now.Sub(start), true, samples, report)
 	for _, c := range commits {
 		version, err := uint64(0), fault.New(fault.Unavailable, "the store is unreachable")
-		if !f.partitioned[vm] && vm != f.storeRejectedVM {
+		if !f.storeDown && !f.partitioned[vm] && vm != f.storeRejectedVM {
 			version, err = f.commit(c.Transaction)
 		}
 		if err == nil && c.Status != nil {
