Do not end the first watches of a daemon when its lists arrive

What callers saw: nothing; on a store whose era is not zero, each daemon started one more watch of a table when it started.

Cause: the first list has a later era than a copy that holds nothing, and was taken for a restore, which ends the pending watch of the other table.

The spec of the pending watches now starts in era 1 and fails without this commit.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -113,7 +113,7 @@
 			f.copy.advance(snapshot.Version)
 			f.d.tables.notify()
 		})
-		if rows.Era(snapshot.Version) > rows.Era(version) {
+		if version > 0 && rows.Era(snapshot.Version) > rows.Era(version) {
 			// The pending watch of the other table does not notice the restore
 			// before its wait ends.
 			f.d.recovery.signal()
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -23,7 +23,12 @@
 	meshWatches atomic.Int64
 }
 
-func newRestoredStore() *restoredStore { return &restoredStore{restored: make(chan struct{})} }
+// newRestoredStore returns a store in era 1.
+func newRestoredStore() *restoredStore {
+	s := &restoredStore{restored: make(chan struct{})}
+	s.era.Store(1)
+	return s
+}
 
 func (s *restoredStore) restore() {
 	s.era.Add(1)
@@ -85,13 +90,14 @@
 		go d.operatorFollower().run(ctx, true)
 		go d.meshFollower().run(ctx, true)
 		Eventually(store.meshWatches.Load, specTimeout).Should(Equal(int64(1)))
+		Consistently(store.meshWatches.Load, 100*time.Millisecond).Should(Equal(int64(1)), "the first list is not a restore")
 		store.restore()
 		Eventually(store.meshWatches.Load, time.Second).Should(Equal(int64(2)))
 		era := func() (era uint64) {
 			d.loop.call(func(time.Time) { era = d.node.Era() })
 			return era
 		}
-		Expect(era()).To(Equal(uint64(1)))
+		Expect(era()).To(Equal(uint64(2)))
 	})
 
 	// Guards against a list from before the restore that replaces rows that another
@@ -103,7 +109,7 @@
 		defer cancel()
 		var resets atomic.Int64
 		copied := newTable()
-		copied.advance(rows.Version(1, 2))
+		copied.advance(rows.Version(2, 2))
 		f := &follower{d: d, table: mesh.Table, copy: &copied, reset: func(time.Time, rows.Snapshot) { resets.Add(1) }}
 		go d.run(ctx)
 		go f.run(ctx, true)
