Use another path for rows whose versions hold an era

What callers would have seen: during an upgrade, a daemon that polls a reader of the release before keeps its configuration, because the versions of that reader have no era and count as older on a store whose era is not zero.

Evidence: the spec, in which a reader serves the path of the release before, fails without this commit. A mesh of both releases was not played.

Daemons of different releases now find no rows under each other's path and read the store, as with a reader that does not respond.

--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -22,8 +22,9 @@
 
 const (
 	// gossipPath is the path on the peer listener to which daemons post a digest;
-	// the response holds the rows that the sender lacks.
-	gossipPath = "/v1/rows"
+	// the response holds the rows that the sender lacks. Under /v1, versions of rows
+	// had no era, so they cannot be compared with those of this path.
+	gossipPath = "/v2/rows"
 	// gossipInterval is the interval at which a daemon sends gossip requests while
 	// the store is unreachable.
 	gossipInterval = 400 * time.Millisecond
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -149,6 +151,27 @@
 		Expect(string(d.tables.operators.rows[key].Value)).To(Equal("6"))
 	})
 
+	// Guards against a daemon that gets no rows any more from a reader of an older
+	// release, whose versions have no era and so count as older than its own.
+	It("does not make daemons follow a reader whose versions have no era", func() {
+		peer := http.NewServeMux()
+		peer.HandleFunc("POST /v1/rows", func(w http.ResponseWriter, r *http.Request) {
+			sleep(r.Context(), longPollTimeout)
+			writeGossip(w, &gossipMessage{VM: "b", Reading: true})
+		})
+		reader := httptest.NewServer(peer)
+		DeferCleanup(reader.Close)
+		store := newRestoredStore()
+		d := newDaemon(store)
+		relay := mesh.Relay{Sources: []string{reader.Listener.Addr().String()}}
+		d.relay.Store(&relay)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		go d.followRows(ctx)
+		Eventually(store.meshWatches.Load, specTimeout).Should(BeNumerically(">=", 1))
+	})
+
 	// Guards against a target row that stays lost because its writer takes it for
 	// stored, also when the response of an earlier write arrives late.
 	It("makes the row of the target missing unless it was observed since", func() {
