--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -22,6 +22,11 @@
 	// leaderTimeout is how long a daemon's evidence may fail to reach the
 	// leader before that daemon may take over. It covers three reports.
 	leaderTimeout = 1500 * time.Millisecond
+	// restoredLeaderDelay is the time after a restore of the store in which only the
+	// leader of a move writes its record. The store did not respond to the leader
+	// before, so the other daemons would take over, and would collect the evidence
+	// anew. A daemon notices the restore up to half a second after the first one.
+	restoredLeaderDelay = 700 * time.Millisecond
 	// maxEvidenceAge is the age of a daemon's last report up to which its
 	// evidence counts as live.
 	maxEvidenceAge = 1500 * time.Millisecond
@@ -39,9 +44,8 @@
 // serviceMove is the newest move of a service.
 type serviceMove struct {
 	service string
-	// record is the stored row and version its version in the store.
-	record  *moveRecord
-	version uint64
+	replica
+	record *moveRecord
 	// orderSeenAt is when this daemon first processed the order while no record
 	// of its move existed; zero once there is a record.
 	orderSeenAt time.Time
@@ -97,7 +101,7 @@
 		return err
 	}
 	m := n.move(service)
-	if row.Version < m.version {
+	if !m.observe(row.Version, record.Era) {
 		return nil
 	}
 	newOrder := m.record == nil || m.record.Order != record.Order
@@ -107,7 +111,8 @@
 	if newOrder || m.record.Epoch != record.Epoch {
 		m.leaderContactAt = now
 	}
-	m.record, m.version = record, row.Version
+	m.record = record
+	n.identifyOrder(service)
 	if l := m.leader; l != nil && (record.Epoch != l.epoch || record.Leader != n.self.VM || record.LeaderRun != n.self.Run) {
 		m.leader = nil
 	}
@@ -118,7 +123,7 @@
 }
 
 // open reports whether the move is in progress for the newest order.
-func (m *serviceMove) open(orders map[string]Order) bool {
+func (m *serviceMove) open(orders map[string]knownOrder) bool {
 	return m.record != nil && m.record.Result == resultOpen && m.record.Order == orders[m.service].Revision
 }
 
@@ -183,7 +188,7 @@
 	m := n.move(o.Service)
 	delay := time.Duration(n.leaderRank(o.Revision)) * candidacyDelay
 	if m.record == nil || m.record.Order < o.Revision {
-		from, ok := n.baselines[o.Service]
+		baseline, ok := n.baselines[o.Service]
 		if !ok {
 			return nil
 		}
@@ -195,7 +200,7 @@
 		}
 		accepted := storeClock - now.Sub(m.orderSeenAt)
 		return n.claimLeadership(&moveRecord{
-			Order: o.Revision, Service: o.Service, From: from, To: o.Version,
+			Order: o.Revision, Service: o.Service, From: baseline.record.Version, To: o.Version,
 			AcceptedMS: accepted.Milliseconds(), FinishMS: (accepted + o.Within).Milliseconds(),
 		})
 	}
@@ -204,7 +209,7 @@
 		return nil
 	}
 	restarted := m.record.Leader == n.self.VM && m.record.LeaderRun != n.self.Run
-	if !restarted && now.Sub(m.leaderContactAt) < leaderTimeout+delay {
+	if !restarted && (now.Sub(m.leaderContactAt) < leaderTimeout+delay || now.Sub(n.eraSince) < restoredLeaderDelay) {
 		return nil
 	}
 	next := *m.record
@@ -214,6 +219,7 @@
 // claimLeadership names this daemon as the leader in the record, in the next epoch.
 func (n *Node) claimLeadership(r *moveRecord) *moveRecord {
 	r.Epoch++
+	r.Era = n.era
 	r.Leader, r.LeaderRun, r.EvidenceAddress = n.self.VM, n.self.Run, n.self.Peer
 	return r
 }
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -37,9 +37,12 @@
 	storeRejectedVM string
 	stored          map[rows.Key]rows.Row
 	version         uint64
-	statuses        []mesh.Status
-	writes          int
-	sampledAt       time.Time
+	era             uint64
+	// storeDown is true while the store rejects all writes.
+	storeDown bool
+	statuses  []mesh.Status
+	writes    int
+	sampledAt time.Time
 	// samplesOf returns the samples that the VM's daemon takes in one interval.
 	samplesOf func(vm string, order uint64, permille uint32) []move.Sample
 }
@@ -83,7 +86,11 @@
 
 func (f *fleet) commit(tx rows.Transaction) (uint64, error) {
 	for _, c := range tx.Conditions {
-		if f.stored[c.Key].Version != c.Version {
+		required := c.Version
+		if rows.Era(required) < f.era || rows.Counter(required) == 0 {
+			required = 0
+		}
+		if f.stored[c.Key].Version != required {
 			return 0, &rows.ConflictError{Cause: fault.New(fault.ConditionFailed, "conflict")}
 		}
 	}
@@ -105,6 +112,37 @@
 	return f.version
 }
 
+// backup is a copy of the store's rows.
+type backup struct {
+	rows    []rows.Row
+	version uint64
+}
+
+func (f *fleet) backup() backup { return backup{storedRows(f), f.version} }
+
+// restore replaces the rows of the store by those of the backup in a new era and
+// resets all nodes that are not partitioned.
+func (f *fleet) restore(b backup) {
+	f.era++
+	f.version = rows.Version(f.era, b.version)
+	f.stored = map[rows.Key]rows.Row{}
+	for _, row := range b.rows {
+		row.Version = rows.Version(f.era, row.Version)
+		f.stored[row.Key] = row
+	}
+	for vm := range f.nodes {
+		if !f.partitioned[vm] {
+			f.reset(vm)
+		}
+	}
+}
+
+// reset resets the node to the store's rows.
+func (f *fleet) reset(vm string) {
+	f.nodes[vm].SetEra(f.now, f.era)
+	Expect(f.nodes[vm].Reset(f.now, storedRows(f))).To(BeEmpty())
+}
+
 // run advances the clock by d and ticks all nodes at each interval.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(mesh.TickInterval) {
@@ -127,7 +165,7 @@
 	commits, reports := n.Tick(f.now, f.now.Sub(start), true, samples, report)
 	for _, c := range commits {
 		version, err := uint64(0), fault.New(fault.Unavailable, "the store is unreachable")
-		if !f.partitioned[vm] && vm != f.storeRejectedVM {
+		if !f.storeDown && !f.partitioned[vm] && vm != f.storeRejectedVM {
 			version, err = f.commit(c.Transaction)
 		}
 		if err == nil && c.Status != nil {
@@ -175,6 +213,8 @@
 type moveRow struct {
 	Order  uint64 `json:"order"`
 	Leader string `json:"leader"`
+	Epoch  uint64 `json:"epoch"`
+	Result string `json:"result"`
 }
 
 func (f *fleet) moveRow() moveRow {
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -55,6 +55,12 @@
 	return newer
 }
 
+// replace stores the row whether or not it is newer.
+func (t *table) replace(row rows.Row) {
+	t.rows[row.Key] = row
+	t.changeCount++
+}
+
 // remove removes a row.
 func (t *table) remove(key rows.Key) {
 	delete(t.rows, key)
@@ -76,6 +82,12 @@
 	return version
 }
 
+// newerThan reports whether a row is newer than the version, or the copy is
+// complete in a later era.
+func (t *table) newerThan(version uint64) bool {
+	return t.newestVersion() > version || rows.Era(t.completeVersion) > rows.Era(version)
+}
+
 // rowsAfter returns the rows that are newer than the version.
 func (t *table) rowsAfter(version uint64) []rows.Row {
 	var newer []rows.Row
