Reset the connection of an HTTP/1.0 caller when a response ends early

An HTTP/1.0 caller got a 200 with a short body that looked whole when a target broke off a response that was longer than the buffer and had no length.

Cause: the end of the connection ends a response without a length for such a caller, and the daemon closed it properly, as it does for HTTP/1.1, where the missing last chunk shows the break. The connection is now reset.

The new spec failed before ("Expected an error", for a long chunked response) and passes now, also with -race.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -330,7 +330,7 @@
 		x.observeBrokenResponse(a)
 	}
 	if result.upstream != nil || result.caller != nil {
-		abortResponse()
+		abortResponse(x.w, x.r)
 	}
 }
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -134,8 +135,32 @@
 }
 
 // abortResponse closes the caller's connection, so that the caller cannot
-// mistake an incomplete response for a complete one.
-func abortResponse() { panic(http.ErrAbortHandler) }
+// mistake an incomplete response for a complete one. It resets that of an HTTP/1.0
+// caller, for which a proper close ends a response without a length.
+func abortResponse(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			resetConn(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConn resets a TCP connection, which may have wrappers that have NetConn.
+func resetConn(conn net.Conn) {
+	defer conn.Close()
+	for c := conn; ; {
+		if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+			_ = tcp.SetLinger(0)
+			return
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		c = wrapper.NetConn()
+	}
+}
 
 // earlyResponse allows a response to begin while the request body is still
 // being read; by default the server reads the body first.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -257,6 +257,6 @@
 		granted.finish(response, stored)
 	}
 	if result.upstream != nil || result.caller != nil {
-		abortResponse()
+		abortResponse(s.w, s.r)
 	}
 }
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -189,3 +189,25 @@
 // concurrentTruncations is the number of requests at the same time, less than the
 // slots of the target.
 const concurrentTruncations = 8
+
+// Guards against an incomplete response that looks complete to an HTTP/1.0 caller,
+// for which the end of the connection ends a response without a length.
+var _ = It("resets the connection of an HTTP/1.0 caller when a streamed response ends early", func() {
+	for _, response := range wireResponses() {
+		if len(response.body) <= verifyingBufferBytes || response.closeEnds {
+			continue
+		}
+		whole := response.head + response.body + response.end
+		url := newVerifyingMesh(model.Route{}, newTruncatingTarget(whole, false).listener.Addr().String())
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = fmt.Fprintf(conn, "GET /%d HTTP/1.0\r\nHost: x\r\nX-Id: id\r\n\r\n", len(whole)-100)
+		Expect(err).NotTo(HaveOccurred())
+		received, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(received.Body)
+		}
+		Expect(err).To(HaveOccurred(), response.name)
+	}
+})
