--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./...
 
-.PHONY: all build test lint fmt check demo bench soak generate tools
+.PHONY: all build test lint fmt check demo bench soak soak-sidecar generate tools
 
 all: build
 
@@ -41,6 +41,13 @@
 soak:
 	$(GO) test ./test/integration -count=1 -v -timeout 0 -scenario.soak $(MINUTES) -scenario.seed $(SEED)
 
+# Runs the sidecar's processes on the stand-in of the platform's store under planned
+# work and faults; CI runs it with seed 1.
+SOAK_VMS ?= 6
+SOAK_SECONDS ?= 60
+soak-sidecar:
+	$(GO) test ./platform -count=1 -v -timeout 0 -ginkgo.v -ginkgo.focus 'the soak keeps' -soak.seed $(SEED) -soak.vms $(SOAK_VMS) -soak.seconds $(SOAK_SECONDS)
+
 # Installs the rename tool: bin/gopls rename -w FILE:LINE:COLUMN NAME.
 # Later versions of gopls need a later Go than go.mod names.
 GOPLS_VERSION = v0.23.0
