Keep the result of a move when a former leader writes after a restore

After a restore of the store a former leader's condition became "must not exist", which does not fence, and its record of the new era counted as newer than the result: a finished move was open again, and a version that was taken back got requests again. Records are now compared by order, epoch and result before the era.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -101,7 +101,7 @@
 		return err
 	}
 	m := n.move(service)
-	if !m.observe(row.Version, record.Era) {
+	if !m.observe(row.Version, record.Era, record.precedence(m.record)) {
 		return nil
 	}
 	newOrder := m.record == nil || m.record.Order != record.Order
@@ -296,3 +296,14 @@
 func samplesForOrder(order uint64, samples []move.Sample) []move.Sample {
 	return slices.DeleteFunc(slices.Clone(samples), func(s move.Sample) bool { return s.Key.Ticket != order })
 }
+
+// precedence compares records of a service by their orders, and those of the same move
+// by the leader's epoch and by whether the move has ended. A former leader may write
+// its record in a later era than its successor.
+func (r *moveRecord) precedence(known *moveRecord) int {
+	if known == nil {
+		return 0
+	}
+	ended := func(r *moveRecord) int { return min(1, len(r.Result)) }
+	return cmp.Or(cmp.Compare(r.Order, known.Order), cmp.Compare(r.Epoch, known.Epoch), cmp.Compare(ended(r), ended(known)))
+}
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -22,12 +22,19 @@
 }
 
 // observe records a row of the store whose content was written in the era, and
-// reports whether the content is the newest known.
-func (r *replica) observe(version, era uint64) bool {
+// reports whether the content is the newest known. A precedence that is not zero
+// tells whether the content replaces the known one, whatever their eras.
+func (r *replica) observe(version, era uint64, precedence int) bool {
 	if version < r.version {
 		return false
 	}
 	r.version, r.storedOrigin = version, rows.Version(era, rows.Counter(version))
+	switch {
+	case precedence < 0:
+		r.storedOrigin = min(r.storedOrigin, r.origin-1)
+	case precedence > 0:
+		r.origin = r.storedOrigin
+	}
 	if r.storedOrigin < r.origin {
 		return false
 	}
