Keep newer content when a daemon that is behind writes rows again

A row that was written again after a restore counted as content of the new era, so a daemon that was a second behind put an older baseline in place of the newer one. Records that are written again now carry the version under which their content was first written, and are ordered by it.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -101,7 +101,7 @@
 		return err
 	}
 	m := n.move(service)
-	if !m.observe(row.Version, record.Era, record.precedence(m.record)) {
+	if !m.observe(row.Version, record.Era, record.Origin, record.precedence(m.record)) {
 		return nil
 	}
 	newOrder := m.record == nil || m.record.Order != record.Order
@@ -219,7 +219,7 @@
 // claimLeadership names this daemon as the leader in the record, in the next epoch.
 func (n *Node) claimLeadership(r *moveRecord) *moveRecord {
 	r.Epoch++
-	r.Era = n.era
+	r.Era, r.Origin = n.era, 0
 	r.Leader, r.LeaderRun, r.EvidenceAddress = n.self.VM, n.self.Run, n.self.Peer
 	return r
 }
@@ -270,6 +270,7 @@
 	}
 	decision := l.planner.Next(now, move.Conditions{EvidenceLive: n.evidenceLive(now, l), Targets: n.targetCounts(m)})
 	next := *m.record
+	next.Origin = 0
 	l.holdReason = decision.Reason
 	switch decision.Kind {
 	case move.Hold:
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -204,7 +204,7 @@
 		b = &serviceBaseline{}
 		n.baselines[service] = b
 	}
-	if b.observe(row.Version, record.Era, 0) {
+	if b.observe(row.Version, record.Era, record.Origin, 0) {
 		b.record = record
 	}
 	return nil
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -65,6 +65,9 @@
 	Version string `json:"version"`
 	// Era is the era of the store in which the record was written.
 	Era uint64 `json:"era,omitempty"`
+	// Origin is the version under which the content was first written, if it was
+	// written again after a restore of the store.
+	Origin uint64 `json:"origin,omitempty"`
 }
 
 // Results of a move.
@@ -86,6 +89,8 @@
 	FinishMS   int64 `json:"finish_ms"`
 	// Era is the era of the store in which the record was written.
 	Era uint64 `json:"era,omitempty"`
+	// Origin is as in baselineRecord.
+	Origin uint64 `json:"origin,omitempty"`
 	// Epoch is the fencing token of the leader. Each new leader increments it.
 	Epoch uint64 `json:"epoch"`
 	// Leader and LeaderRun identify the leading daemon and its start.
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -23,12 +23,17 @@
 
 // observe records a row of the store whose content was written in the era, and
 // reports whether the content is the newest known. A precedence that is not zero
-// tells whether the content replaces the known one, whatever their eras.
-func (r *replica) observe(version, era uint64, precedence int) bool {
+// tells whether the content replaces the known one, whatever their eras. origin is
+// the version under which the content was first written, or zero if it was not
+// written again.
+func (r *replica) observe(version, era, origin uint64, precedence int) bool {
 	if version < r.version {
 		return false
 	}
 	r.version, r.storedOrigin = version, rows.Version(era, rows.Counter(version))
+	if origin != 0 {
+		r.storedOrigin = origin
+	}
 	switch {
 	case precedence < 0:
 		r.storedOrigin = min(r.storedOrigin, r.origin-1)
@@ -75,7 +80,7 @@
 		finished := m.record != nil && m.record.Result != resultOpen
 		if finished && m.lostIn(n.era) && myTurn(m.record.Order) {
 			record := *m.record
-			record.Era = n.era
+			record.Era, record.Origin = n.era, m.origin
 			commits = append(commits, n.recordCommit(now, m, &record, "restore move "+service)...)
 		}
 	}
@@ -88,7 +93,7 @@
 		if !b.lostIn(n.era) || !myTurn(xxhash.Sum64String(service)) {
 			continue
 		}
-		row := encodeRow(meshKey(baselinePrefix+service), baselineRecord{Version: b.record.Version, Era: n.era})
+		row := encodeRow(meshKey(baselinePrefix+service), baselineRecord{Version: b.record.Version, Era: n.era, Origin: b.origin})
 		tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: b.version}}, Writes: []rows.Row{row}}
 		commits = append(commits, n.baselineCommit(now, service, tx, "restore baseline "+service)...)
 	}
--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -6,7 +6,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/move"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
 var _ = Describe("a daemon that was cut off when the store was restored", func() {
@@ -53,3 +55,28 @@
 		Entry("that finished", 0.0, 25*time.Second, "done", "v2"),
 	)
 })
+
+var _ = Describe("rows that a restore of the store has undone", func() {
+	// Guards against a baseline that goes back to an older one, because a daemon that
+	// has not read the newest row writes the one that it knows again first.
+	It("are not replaced by older content that a daemon behind writes again", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2"})
+		before := f.backup()
+		baseline := func(version string) rows.Row {
+			return rows.Row{Key: rows.Key{Table: mesh.Table, Name: "baseline/order"}, Value: []byte(`{"version":"` + version + `"}`)}
+		}
+		f.put(baseline("v1"))
+		f.partitioned["vm0"] = true
+		f.put(baseline("v2"))
+		delete(f.partitioned, "vm0")
+		f.restore(before)
+		for range 10 {
+			f.tick("vm0", false)
+			f.now = f.now.Add(mesh.TickInterval)
+		}
+		f.run(2 * time.Second)
+		for vm, n := range f.nodes {
+			Expect(n.Routing().State.Services["order"].Shares).To(HaveKey("v2"), vm)
+		}
+	})
+})
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -193,6 +193,7 @@
 	l := m.leader
 	if l.pendingRecord == nil && m.lostIn(n.era) {
 		record := *m.record
+		record.Origin = m.origin
 		l.pendingRecord = &record
 	}
 	if l.pendingRecord == nil {
@@ -216,7 +217,7 @@
 			status = &Status{Service: m.service, Version: record.To, State: StatusRunning}
 		}
 	case resultDone:
-		baseline = encodeRow(meshKey(baselinePrefix+m.service), baselineRecord{Version: record.To, Era: record.Era})
+		baseline = encodeRow(meshKey(baselinePrefix+m.service), baselineRecord{Version: record.To, Era: record.Era, Origin: record.Origin})
 		tx.Writes = append(tx.Writes, baseline)
 		status = &Status{Service: m.service, Version: record.To, State: StatusDone}
 	case resultTakenBack:
