Keep targets that a list does not hold

A list dropped a target whose daemon had noticed the restore first and had not written its row yet, for as long as the store turned that daemon away. Daemons do not remove rows of targets, so unlisted ones stay. The spec failed before.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -97,7 +97,8 @@
 }
 
 // Reset replaces all state that comes from the mesh table by the rows, except
-// newer records and those that a restore of the store has undone. It skips rows
+// newer records and those that a restore of the store has undone. Targets that are
+// not listed stay, since daemons do not remove their rows. It skips rows
 // that cannot be decoded and returns their errors.
 func (n *Node) Reset(now time.Time, all []rows.Row) []error {
 	old := n.targets
@@ -113,7 +114,7 @@
 	for vm, before := range old {
 		known, ok := n.targets[vm]
 		switch {
-		case !ok && before.record.Era < n.era, ok && before.record.newer(known.record):
+		case !ok, ok && before.record.newer(known.record):
 			n.targets[vm] = before
 		case ok && before.record.Incarnation == known.record.Incarnation:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -79,4 +79,21 @@
 			Expect(n.Routing().State.Services["order"].Shares).To(HaveKey("v2"), vm)
 		}
 	})
+
+	// Guards against a target that vanishes from a daemon that lists the table after
+	// the target's daemon has told it of its row, but before that row is written.
+	It("keep a target whose daemon has noticed the restore first", func() {
+		n := mesh.NewNode(mesh.Self{VM: "vm0"})
+		n.SetConfiguration(configuration(1))
+		known := &mesh.TargetRecord{VM: "vm1", Incarnation: 1, Sequence: 1, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		row := known.Row()
+		row.Version = 5
+		Expect(n.Reset(start, []rows.Row{row})).To(BeEmpty())
+		again := *known
+		again.Era = 1
+		n.MergeTarget(start, &again)
+		n.SetEra(start, 1)
+		Expect(n.Reset(start, nil)).To(BeEmpty())
+		Expect(n.Routing().Endpoints).To(HaveLen(1))
+	})
 })
