Do not follow an order of the backup that a known move has replaced

A daemon that started after the later order knew no earlier ones, so it took the backup's order for a new one and moved the service back. The record of the backup's move now tells that its order was replaced. This holds when the mesh table is read before the order. The spec failed before.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -46,6 +46,8 @@
 	service string
 	replica
 	record *moveRecord
+	// storedRecord is the content of the store's row, which may be older.
+	storedRecord *moveRecord
 	// orderSeenAt is when this daemon first processed the order while no record
 	// of its move existed; zero once there is a record.
 	orderSeenAt time.Time
@@ -101,6 +103,7 @@
 		return err
 	}
 	m := n.move(service)
+	m.storedRecord = record
 	if !m.observe(row.Version, record.Era, record.Origin, record.precedence(m.record)) {
 		return nil
 	}
--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -42,6 +42,9 @@
 			n.identifyOrder(o.Service)
 			return false
 		}
+		if n.moves[o.Service].supersedes(o) {
+			return false
+		}
 		if slices.ContainsFunc(known.earlier, func(e Order) bool {
 			return e.sameContent(o) && rows.Counter(e.Revision) == rows.Counter(o.Revision)
 		}) {
@@ -91,3 +94,12 @@
 	within := time.Duration(r.FinishMS-r.AcceptedMS) * time.Millisecond
 	return r.To == o.Version && (within-o.Within).Abs() <= time.Millisecond
 }
+
+// supersedes reports whether the order comes from the backup, where a move that a
+// later one has replaced refers to it.
+func (m *serviceMove) supersedes(o Order) bool {
+	if m == nil || m.record == nil || m.storedRecord == nil || m.storedRecord.Order >= m.record.Order {
+		return false
+	}
+	return rows.Counter(m.storedRecord.Order) == rows.Counter(o.Revision) && m.storedRecord.isFor(o)
+}
--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -97,3 +97,35 @@
 		Expect(n.Routing().Endpoints).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("an order in the backup", func() {
+	const within = 15 * time.Second
+
+	// Guards against a move back to an older version, led by a daemon that started
+	// after the later order and so never read the order in the backup.
+	It("is not followed by a daemon that knows only the later order", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2", "vm3": "v2"})
+		f.samplesOf = traffic(0)
+		f.run(time.Second)
+		f.put(rows.Row{Key: rows.Key{Table: mesh.Table, Name: "baseline/order"}, Value: []byte(`{"version":"v2"}`)})
+		first := f.orderMove("v1", within)
+		f.run(20 * time.Second)
+		before := f.backup()
+		second := f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		f.startNode("vm0", 99)
+		f.nodes["vm0"].SetConfiguration(configuration(1))
+		f.reset("vm0")
+		f.nodes["vm0"].SetOrder(mesh.Order{Service: "order", Version: "v2", Within: within, Revision: second})
+		f.restore(before)
+		f.statuses = nil
+		for _, n := range f.nodes {
+			n.SetOrder(mesh.Order{Service: "order", Version: "v1", Within: within, Revision: rows.Version(f.era, first)})
+		}
+		f.run(5 * time.Second)
+		Expect(f.states()).NotTo(ContainElement(mesh.StatusRunning))
+		for vm, n := range f.nodes {
+			Expect(n.Routing().State.Services["order"].Shares).To(HaveKey("v2"), vm)
+		}
+	})
+})
