Write the target row again when it was written before the first list

At a first start rows are written up to 4 s before the table is listed. A restore in between lost such a row for good, because the writer took it for stored. The spec failed before.

--- a/internal/sidecar/restore.go
+++ b/internal/sidecar/restore.go
@@ -17,11 +17,11 @@
 		return false
 	}
 	d.node.SetEra(now, era)
+	d.targetRow.enterEra(era)
 	if d.tables.mesh.completeVersion == 0 {
 		return false
 	}
 	d.logger.Warn().Str("event", "store-restored").Uint64("from", known).Uint64("to", era).Uint64("version", version).Msg("the store was restored from a backup; lost rows are written again")
-	d.targetRow.enterEra(era)
 	return true
 }
 
