Keep the era of the target's earlier record while the store is away

A daemon that restarted while the store was away got its rows from other daemons and wrote records of era zero, which counted as older than its earlier ones on any store with a later era: callers got 503 for its target.

--- a/internal/sidecar/restore_review_test.go
+++ b/internal/sidecar/restore_review_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/mesh"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
@@ -26,3 +27,31 @@
 		Expect(d.targetRow.stored).To(BeNil())
 	})
 })
+
+var _ = Describe("a daemon that starts while the store is away", func() {
+	// Guards against a target that other daemons never take for ready, because the
+	// record of its daemon's earlier start has a later era.
+	It("publishes a record that replaces the one of its earlier start", func() {
+		d := New(Config{VM: "a", Service: "s", Store: newRestoredStore(), Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
+		earlier := &mesh.TargetRecord{VM: "a", Era: 1, Incarnation: 7, Sequence: 3, State: "gone", Inbound: "10.0.0.1:1", Service: "s", Version: "v1", Slots: 1}
+		row := earlier.Row()
+		row.Version = rows.Version(1, 9)
+		newRows := toWireRows([]rows.Row{row})
+		d.meshLoaded = true
+		d.tables.mesh.merge(fromWireRows(newRows))
+		d.node.ApplyChanges(time.Now(), []rows.Change{{Row: row}})
+		w := d.targetRow
+		w.observe(row)
+		d.target.state = member.Ready
+		d.target.current.Service, d.target.current.Version = "s", "v1"
+		w.update()
+		own := w.desiredRecord()
+		Expect(own.State).To(Equal("ready"))
+		Expect(own.Incarnation).To(BeNumerically(">", earlier.Incarnation))
+		other := mesh.NewNode(mesh.Self{VM: "b"})
+		Expect(other.ApplyChanges(time.Now(), []rows.Change{{Row: row}})).To(BeEmpty())
+		other.MergeTarget(time.Now(), own)
+		Expect(other.Daemons()).To(Equal(1))
+		Expect(other.DaemonShares()).To(HaveKey("s"), "the other daemon takes the target for ready")
+	})
+})
--- a/internal/sidecar/target_row.go
+++ b/internal/sidecar/target_row.go
@@ -29,6 +29,9 @@
 	// baseIncarnation is the last incarnation that an earlier start of the daemon
 	// published.
 	baseIncarnation uint64
+	// baseEra is the era of that record. Until the store responds to this start, its
+	// own era is not known.
+	baseEra uint64
 	// meshLoaded is true once rows of the mesh table have been loaded. A row that
 	// is observed later does not change baseIncarnation.
 	meshLoaded bool
@@ -59,7 +62,7 @@
 	}
 	w.stored = record
 	if record != nil && !w.meshLoaded {
-		w.baseIncarnation = record.Incarnation
+		w.baseIncarnation, w.baseEra = record.Incarnation, record.Era
 	}
 }
 
@@ -93,7 +96,7 @@
 	t := d.target
 	record := &mesh.TargetRecord{
 		VM: d.config.VM, Incarnation: w.baseIncarnation + 1 + t.incarnation, State: "gone", Domain: d.config.Domain,
-		Inbound: d.config.Inbound, Peer: d.config.Peer, LinkRate: d.config.LinkRate, Era: d.node.Era(),
+		Inbound: d.config.Inbound, Peer: d.config.Peer, LinkRate: d.config.LinkRate, Era: max(d.node.Era(), w.baseEra),
 	}
 	if t.state != 0 {
 		record.Service, record.Version, record.Instance, record.Slots = t.current.Service, t.current.Version, t.current.Instance, t.current.Slots
