--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -54,6 +54,37 @@
 		Entry("that was taken back", 0.9, 8*time.Second, "taken-back", "v1"),
 		Entry("that finished", 0.0, 25*time.Second, "done", "v2"),
 	)
+
+	// Guards against a former leader that goes on from the step in the backup, which
+	// is the newest that it knows, after another daemon has ended the move.
+	It("does not go on with a move from the backup that has ended since", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2", "vm3": "v2"})
+		f.run(time.Second)
+		f.put(rows.Row{Key: rows.Key{Table: mesh.Table, Name: "baseline/order"}, Value: []byte(`{"version":"v1"}`)})
+		f.samplesOf = traffic(0)
+		f.orderMove("v2", within)
+		f.run(3 * time.Second)
+		former, before := leaderOf(f), f.backup()
+		f.partitioned[former] = true
+		f.samplesOf = func(vm string, order uint64, permille uint32) []move.Sample {
+			if vm == former {
+				return nil
+			}
+			return traffic(0.9)(vm, order, permille)
+		}
+		f.run(8 * time.Second)
+		Expect(f.moveRow().Result).To(Equal("taken-back"))
+		delete(f.partitioned, former)
+		f.restore(before)
+		f.samplesOf = traffic(0)
+		f.tick(former, false)
+		f.run(2 * time.Second)
+		for vm, n := range f.nodes {
+			order, _ := n.OpenMove("order")
+			Expect(order).To(BeZero(), vm)
+			Expect(n.Routing().State.Services["order"].Shares).To(HaveKey("v1"), vm)
+		}
+	})
 })
 
 var _ = Describe("rows that a restore of the store has undone", func() {
