Let daemons write ended moves again before a new one is started

A daemon that started right after a restore knew only the backup and started a move that had ended: a version that was taken back ran again. The spec failed before.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -191,6 +191,10 @@
 	m := n.move(o.Service)
 	delay := time.Duration(n.leaderRank(o.Revision)) * candidacyDelay
 	if m.record == nil || m.record.Order < o.Revision {
+		if n.era > 0 && now.Sub(n.eraSince) < restoredLeaderDelay {
+			// Another daemon may know that the move has ended and write that again.
+			return nil
+		}
 		baseline, ok := n.baselines[o.Service]
 		if !ok {
 			return nil
--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -160,3 +160,40 @@
 		}
 	})
 })
+
+var _ = Describe("a daemon that starts right after a restore of the store", func() {
+	const within = 15 * time.Second
+
+	// Guards against a taken-back version that gets requests again, because a daemon
+	// that knows no record starts its move before the others write the record again.
+	It("does not start a move that was taken back", func() {
+		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1", "vm2": "v2", "vm3": "v2"})
+		f.run(time.Second)
+		f.put(rows.Row{Key: rows.Key{Table: mesh.Table, Name: "baseline/order"}, Value: []byte(`{"version":"v1"}`)})
+		before := f.backup()
+		f.samplesOf = traffic(0.9)
+		f.orderMove("v2", within)
+		f.run(20 * time.Second)
+		Expect(f.moveRow().Result).To(Equal("taken-back"))
+		f.restore(before)
+		for i, vm := range f.vms[:2] {
+			f.startNode(vm, uint64(100+i))
+			f.nodes[vm].SetConfiguration(configuration(1))
+			f.reset(vm)
+		}
+		f.samplesOf, f.statuses = traffic(0), nil
+		f.orderMove("v2", within)
+		for range 4 {
+			for _, vm := range f.vms[:2] {
+				f.tick(vm, false)
+			}
+			f.now = f.now.Add(mesh.TickInterval)
+		}
+		f.run(2 * time.Second)
+		Expect(f.states()).NotTo(ContainElement(mesh.StatusRunning))
+		for vm, n := range f.nodes {
+			order, _ := n.OpenMove("order")
+			Expect(order).To(BeZero(), vm)
+		}
+	})
+})
