Ignore a list that is older than the rows of another daemon

A reader's list that was older than the rows that the next reader had sent removed them, while the copy still counted as complete, so daemons that poll it never got them.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -105,8 +105,8 @@
 		}
 		cause = causeCatchUp
 		f.d.loop.post(func(now time.Time) {
-			// Another daemon may have sent the rows of a later era meanwhile.
-			if rows.Era(snapshot.Version) < rows.Era(f.copy.completeVersion) {
+			// Another daemon may have sent newer rows meanwhile.
+			if snapshot.Version < f.copy.completeVersion {
 				return
 			}
 			f.reset(now, snapshot)
--- a/internal/sidecar/restore_review_test.go
+++ b/internal/sidecar/restore_review_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,3 +56,30 @@
 		Expect(other.DaemonShares()).To(HaveKey("s"), "the other daemon takes the target for ready")
 	})
 })
+
+var _ = Describe("a list that is older than the rows from another reader", func() {
+	// Guards against rows that daemons never get from this reader: the older list
+	// removed them, while the copy still counted as complete.
+	It("removes no rows from the copy that other daemons are served", func() {
+		store := newRestoredStore()
+		d := New(Config{VM: "a", Store: store, Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
+		record := &mesh.TargetRecord{VM: "b", Era: 1, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
+		row := record.Row()
+		row.Version = rows.Version(1, 5)
+		d.tables.mesh.merge([]rows.Row{row})
+		d.tables.mesh.advance(rows.Version(1, 6))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		go d.meshFollower().run(ctx, true)
+		Eventually(store.meshWatches.Load, specTimeout).Should(BeNumerically(">=", 1))
+		var served []rows.Row
+		var complete uint64
+		d.loop.call(func(time.Time) {
+			served, complete = d.tables.mesh.rowsAfter(rows.Version(0, 9)), d.completeDigest().Mesh.Version
+		})
+		if complete >= row.Version {
+			Expect(served).To(HaveLen(1), "the copy is complete up to version %d", rows.Counter(complete))
+		}
+	})
+})
