Count a target as cold again after a restart in a later era

A daemon that restarted from the backup assigned an incarnation again, and its cold target inherited the time of receipt of the earlier one. The spec failed before.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -116,7 +116,7 @@
 		switch {
 		case !ok, ok && before.record.newer(known.record):
 			n.targets[vm] = before
-		case ok && before.record.Incarnation == known.record.Incarnation:
+		case ok && before.record.Incarnation == known.record.Incarnation && before.record.Era == known.record.Era:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
 		}
 	}
--- a/internal/mesh/restore_review_test.go
+++ b/internal/mesh/restore_review_test.go
@@ -127,6 +127,23 @@
 		Expect(n.Reset(start, nil)).To(BeEmpty())
 		Expect(n.Routing().Endpoints).To(HaveLen(1))
 	})
+
+	// Guards against a cold target that counts as warm, because its daemon restarted
+	// from the backup with an incarnation that an earlier target had.
+	It("do not make a new target warm", func() {
+		n := mesh.NewNode(mesh.Self{VM: "vm0"})
+		n.SetConfiguration(configuration(1))
+		record := mesh.TargetRecord{VM: "vm1", Incarnation: 7, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		row := record.Row()
+		row.Version = 5
+		Expect(n.Reset(start, []rows.Row{row})).To(BeEmpty())
+		record.Era, record.ColdMS = 1, 1000
+		row = record.Row()
+		row.Version = rows.Version(1, 4)
+		n.SetEra(start.Add(time.Hour), 1)
+		Expect(n.Reset(start.Add(time.Hour), []rows.Row{row})).To(BeEmpty())
+		Expect(n.Routing().Endpoints[0].Target.WarmAt).To(Equal(start.Add(time.Hour + time.Second)))
+	})
 })
 
 var _ = Describe("an order in the backup", func() {
