--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -23,9 +23,10 @@
 	// leader before that daemon may take over. It covers three reports.
 	leaderTimeout = 1500 * time.Millisecond
 	// restoredLeaderDelay is the time after a restore of the store in which only the
-	// leader of a move writes its record, and no move is started. The store did not respond to the leader
-	// before, so the other daemons would take over, and would collect the evidence
-	// anew. A daemon notices the restore up to half a second after the first one.
+	// leader of a move writes its record, and no move is started. The store did not
+	// respond to the leader before, so the other daemons would take over, and would
+	// collect the evidence anew. A daemon notices the restore up to half a second
+	// after the first one.
 	restoredLeaderDelay = 700 * time.Millisecond
 	// maxEvidenceAge is the age of a daemon's last report up to which its
 	// evidence counts as live.
