Let the store of the follower specs implement all of rows.Store

A daemon that has loaded both tables asks the clock at its next tick, at most 100 ms later. A spec that ends within that time passes, and one that ends later stops the test program with all its specs.

The store and the operators' stand-in implement their interfaces in full now, without an embedded interface, so that the compiler names a missing method.

--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -18,9 +18,9 @@
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
-// changingStore is a store in which each watch returns a new row at once.
+// changingStore is a store in which each watch returns a new row at once. Its
+// clock is unknown, and its commits fail without effect.
 type changingStore struct {
-	rows.Store
 	watches, lists atomic.Int64
 	// down makes every list fail.
 	down atomic.Bool
@@ -39,14 +39,21 @@
 	return []rows.Change{{Row: rows.Row{Key: rows.Key{Table: table, Name: "x"}, Version: after + 1}}}, after + 1, nil
 }
 
+func (*changingStore) Commit(context.Context, rows.Transaction) (uint64, error) {
+	return 0, fault.New(fault.Unavailable, "the store takes no writes")
+}
+
+func (*changingStore) Clock() (time.Duration, bool) { return 0, false }
+
 // specTimeout bounds the time that a spec waits for a state.
 const specTimeout = 5 * time.Second
 
 // noOperators is a platform without rows of operators.
-type noOperators struct{ Operators }
+type noOperators struct{}
 
 func (noOperators) Table() string                { return "operators" }
 func (noOperators) Decode(rows.Row) (any, error) { return nil, nil }
+func (noOperators) Status(mesh.Status) rows.Row  { return rows.Row{} }
 
 // slowHealth is a health check that succeeds once release is closed.
 type slowHealth struct{ release chan struct{} }
