Keep net/http from waiting for the standard error stream

What callers saw: after a target had sent bytes on an idle connection, uploads that a daemon streams to that target got 504 at their deadline, while nobody read the daemon's standard error stream.

Cause: the daemon's own log does not block, but net/http writes to Go's standard logger, which writes to the standard error stream directly. It logs unsolicited responses while it holds the lock of the connection, and the next request waits for that lock, whatever its deadline, while it holds the lock of the whole client. It logs errors of Accept in the loop that accepts connections.

By reading only, not shown by a run: closing the target's client in Inbound.SetTarget waits for the same lock, in the event loop.

Fix: both programs pass the lines of the standard logger to the writer of their log, which drops lines while its reader stalls. A line is cut to 512 bytes, since net/http quotes the whole buffer of a connection.

--- a/cmd/magnoliamount-sidecar/main.go
+++ b/cmd/magnoliamount-sidecar/main.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	root.CaptureStandardLog()
 	return platform.Run(ctx, c.String("settings"), reload, root)
 }
 
--- a/cmd/magnoliamount/main.go
+++ b/cmd/magnoliamount/main.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	root.CaptureStandardLog()
 	keepServingOnSignals(root.Component("signals"))
 	return daemon.Run(ctx, s, root.Component("daemon"))
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +43,23 @@
 	})
 })
 
+var _ = It("writes the lines of the standard logger as bounded JSON lines, guarding against net/http that waits for the standard error stream", func() {
+	flags, output := log.Flags(), log.Writer()
+	DeferCleanup(func() {
+		log.SetFlags(flags)
+		log.SetOutput(output)
+	})
+	var buffer bytes.Buffer
+	root, err := logging.New(&buffer, "info", "order-1")
+	Expect(err).NotTo(HaveOccurred())
+	root.CaptureStandardLog()
+	log.Printf("http: %s", strings.Repeat("x", 10000))
+	var line map[string]any
+	Expect(json.Unmarshal(buffer.Bytes(), &line)).To(Succeed())
+	Expect(line).To(And(HaveKeyWithValue("vm", "order-1"), HaveKeyWithValue("level", "warn"), HaveKeyWithValue("message", HavePrefix("http: xxx"))))
+	Expect(buffer.Len()).To(BeNumerically("<", 1000))
+})
+
 // stalledWriter blocks each write until release is closed.
 type stalledWriter struct {
 	release chan struct{}
