Refuse responses of targets whose final status is below 200

What callers saw: a signed "101 Switching Protocols" of a target was forwarded. An HTTP client takes it for an informational response or for another protocol, and waits for the final response until its deadline. For a streamed request, a status below 100 made the handler panic; the caller got 502, and the daemon logged a stack.

Cause: the readers of responses skip informational ones, but both pass on 101, and http.Transport also passes on a status below 100, with which WriteHeader panics.

Fix: such a response is a failed attempt with an unknown outcome. The proxies ask for no upgrade, so no valid response has status 101.

--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -261,6 +261,12 @@
 	if !done {
 		result = l.sendTransport(s)
 	}
+	if result.err == nil && result.response.StatusCode < http.StatusOK {
+		// No request asks for an upgrade, so 101 is as invalid as a status below 100.
+		_ = result.response.Body.Close()
+		err := errors.Newf("the endpoint sent status %d as its final one", result.response.StatusCode)
+		return sendResult{err: err, wrote: true, responseStarted: true}
+	}
 	if result.err == nil {
 		if err := bufferResponse(result.response, l.maxBufferedBytes); err != nil {
 			return sendResult{err: err, wrote: true, responseStarted: true}
