Keep the start of a handler's stack in captured lines

net/http logs the stack of a handler that panics as one line; 512 bytes held only its first frames, which are those of net/http. With 4 KiB a full queue of 512 lines takes 2 MiB.

--- a/internal/logging/standard.go
+++ b/internal/logging/standard.go
@@ -8,8 +8,8 @@
 )
 
 // maxStandardLineBytes bounds a line of the standard logger. net/http quotes the
-// whole buffer of a connection.
-const maxStandardLineBytes = 512
+// whole buffer of a connection. The start of a handler's stack fits.
+const maxStandardLineBytes = 4 << 10
 
 // CaptureStandardLog passes the lines of Go's standard logger to the root's writer.
 // net/http logs with that logger while it holds locks and while it accepts
