Answer requests that do not end within the drain time of a daemon

What callers saw: at the end of timeouts.drain, "magnoliamount daemon" closed the connections of requests in flight, and callers got EOF. A request that came late in a planned stop, with a deadline after its end, still ran at a target of another daemon and was cut the same way. The default of ten minutes hides it; it needs a drain time that is shorter than the deadlines.

This program passes no Ending to its proxies, and nothing cancels its requests before it closes the servers.

Fix: as in the sidecar, from half of the drain time on requests are sent to a target only if their deadline is not after its end, and at the end the requests in flight are canceled and get a response with an unknown outcome.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -28,6 +28,10 @@
 	caller  server
 	inbound server
 	admin   server
+	// requests is the parent of the contexts of all requests of callers, and
+	// cancelRequests cancels it.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 }
 
 type server struct {
@@ -54,6 +58,10 @@
 	s.caller = server{name: "caller", http: newServer(proxy.CloseWhile(d.stopping.Load, bypassMux(callerMux, d)), limit)}
 	s.inbound = server{name: "inbound", http: newServer(proxy.CloseWhile(d.stopping.Load, d.inbound), limit)}
 	s.admin = server{name: "admin", http: newServer(proxy.CloseWhile(d.stopping.Load, adminHandler), limit)}
+	s.requests, s.cancelRequests = context.WithCancel(context.Background())
+	for _, srv := range []*server{&s.caller, &s.inbound} {
+		srv.http.BaseContext = func(net.Listener) context.Context { return s.requests }
+	}
 	for _, bind := range []struct {
 		server  *server
 		address string
@@ -126,6 +134,19 @@
 	return <-failures
 }
 
+// finalResponseTime bounds the time for the responses to requests that are broken off.
+const finalResponseTime = 200 * time.Millisecond
+
+// breakOff cancels the requests that shutdown has not waited for, and waits until
+// the proxies have responded to them.
+func (s *servers) breakOff() {
+	s.cancelRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancel()
+	// Requests that take longer are cut by close.
+	_ = s.shutdown(ctx)
+}
+
 // adminStopTimeout is how long a stopping daemon waits for its last responses to
 // operators.
 const adminStopTimeout = time.Second
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -14,17 +14,28 @@
 // which the daemon writes its last frames.
 const leaveDelay = 300 * time.Millisecond
 
+// lateFraction is the part of the drain time after which requests that may not be
+// finished in the rest of it are refused.
+const lateFraction = 0.5
+
 // stop performs the planned stop. The daemon accepts new requests until the other
 // daemons have had time to receive the announcement that it leaves. It then
-// refuses new requests and waits for those in flight. cause is the error that
+// refuses new requests and waits for those in flight; late in the drain time it
+// refuses requests that may not be finished. cause is the error that
 // made the daemon stop, or nil.
 func (d *Daemon) stop(cause error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
+	stopRequested, drain := time.Now(), d.settings.Timeouts.Drain
+	end := stopRequested.Add(drain)
+	d.ending.Set(stopRequested.Add(time.Duration(lateFraction*float64(drain))), end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.stopping.Store(true)
 	d.loop.post(core.Stop{})
 	drained := d.inbound.Drain(ctx)
 	stopped := d.servers.shutdown(ctx)
+	if stopped != nil {
+		d.servers.breakOff()
+	}
 	flushed := d.claims.Close(ctx)
 	d.loop.post(core.Leave{})
 	time.Sleep(leaveDelay)
