Do not repeat a leader's write until it knows the era of the store

What callers saw: nothing. Each write changes the mesh table, which wakes the watches of all daemons, and the leader decides nothing while its record counts as unwritten.

Cause: a leader whose copy of the mesh table has not reached the era of the restored store writes its record with the era before. The row's version is of the new era, and by the record's era its content counts as older than the known one until the counter has passed the known version. So the leader wrote the record again in each tick.

Fix: a write that was made in an earlier era than the store's is not repeated for two seconds, or until the daemon has learned the era, which clears the delay.

--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -153,8 +153,13 @@
 	return []Commit{{Transaction: tx, Status: status, Purpose: purpose, Done: func(now time.Time, version uint64, err error) {
 		delete(n.writesInProgress, purpose)
 		delete(n.retryAt, purpose)
-		if err != nil {
+		switch {
+		case err != nil:
 			n.retryAt[purpose] = now.Add(commitRetryDelay)
+		case rows.Era(version) > n.era:
+			// The record has the era before a restore, so it does not replace the known
+			// one. SetEra allows the next write.
+			n.retryAt[purpose] = now.Add(earlierEraDelay)
 		}
 		done(now, version, err)
 	}}}
