Do not take the store for unreachable after the time of day was set back

After a failed write, a daemon whose time of day is set back by some seconds took the store for unreachable for as long, unless a later write succeeded. It then leads no move and tells other daemons to take over those that it leads.

Fix: a negative time does not count.

--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -96,7 +96,9 @@
 
 // storeUnreachable reports whether the store does not respond to this daemon.
 func (d *Daemon) storeUnreachable() bool {
-	return d.storeUnavailable.Load() || time.Now().UnixNano()-d.lastWriteFailure.Load() < int64(writeFailurePeriod)
+	// The time since a failure is negative after the time of day was set back.
+	sinceFailure := time.Duration(time.Now().UnixNano() - d.lastWriteFailure.Load())
+	return d.storeUnavailable.Load() || sinceFailure >= 0 && sinceFailure < writeFailurePeriod
 }
 
 // recordWriteResult records whether a write failed because the store does not
