Run the specs of package platform as four processes in make test

The specs of package platform ran one after another. The specs use little of a processor: they wait for bounds that the platform sets, for 1.2 s after each set-up until rows have spread, and for the grace periods of stopping daemons. In a run of 299 s signals_test.go took 52 s, path_test.go 42 s, late_test.go 38 s, restore_test.go 30 s, endless_test.go 29 s, soak_test.go 25 s and readers_test.go 24 s; the processor time of go test was 42 s.

make test now starts four processes for the package, chosen by file, beside the other unit tests. The last one takes every file that no other names, so a new file is always run. No spec, bound, seed or case changes. A go test by hand runs all of them one after another, as before. make goes on with the other parts when one fails, and fails in the end, as go test did.

Dry runs of the four parts: 10, 26, 23 and 87 specs, together all 146. Wall time on the shared machine: 306 s before (load average 23 to 28), 83 s after (load average 25 to 28); all green in both runs. Results of these parts are not taken from the cache of go test, which does not hold runs with such flags.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 GO ?= go
 PACKAGES = ./...
+PLATFORM_PARTS = platform-processes platform-stops platform-mesh platform-rest
 
-.PHONY: all build test lint fmt check demo bench soak soak-sidecar generate tools
+.PHONY: all build test unit-tests $(PLATFORM_PARTS) lint fmt check demo bench soak soak-sidecar generate tools
 
 all: build
 
@@ -11,9 +12,22 @@
 # The integration scenarios come last and alone, since each starts a few dozen processes.
 # Only with -v are the failures printed that KNOWN-RED.txt lists.
 test: build
-	$(GO) test $$($(GO) list $(PACKAGES) | grep -v /test/integration)
+	+$(MAKE) -j --keep-going --output-sync=target $(PLATFORM_PARTS) unit-tests
 	$(GO) test -count=1 -v ./test/integration
 
+unit-tests:
+	$(GO) test $$($(GO) list $(PACKAGES) | grep -v -e /test/integration -e '/platform$$')
+
+# The specs of package platform mostly wait, so they run as several processes at once.
+# The last part runs every file that no other part names.
+SPECS_processes = /platform/(signals|soak)_test
+SPECS_stops = /platform/(late|endless)_test
+SPECS_mesh = /platform/(path|restore)_test
+platform-processes platform-stops platform-mesh: platform-%:
+	$(GO) test ./platform -ginkgo.focus-file '$(SPECS_$*)'
+platform-rest:
+	$(GO) test ./platform -ginkgo.skip-file '$(SPECS_processes)' -ginkgo.skip-file '$(SPECS_stops)' -ginkgo.skip-file '$(SPECS_mesh)'
+
 fmt:
 	gofmt -w $$(git ls-files '*.go')
 
