Share the set-up of the daemon's stop specs and the raw target of the proxy specs

admin_state_test.go and admin_stop_test.go started their daemon on a stand-in of the platform with the same seven lines; startOnStandin does it for both. repeated_test.go and truncated_test.go accepted connections in the same loop; serveConns does it for both, and the truncating target is a function now. The targets of direct_test.go count connections as they accept them and keep their own loop. No check changes; go test ./internal/daemon ./internal/proxy passes.

--- a/internal/daemon/admin_state_test.go
+++ b/internal/daemon/admin_state_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,13 +15,7 @@
 	// Guards against a ticket that has ended and is reported as open, because the
 	// status is computed from an empty state.
 	It("does not answer operators from an empty state", func() {
-		store := standin.New()
-		platform := httptest.NewServer(store)
-		DeferCleanup(platform.Close)
-		s := newSettings("vm-1", platform.URL)
-		s.Timeouts.DrainNotice = 100 * time.Millisecond
-		stop := start(s)
-		Eventually(ready(s), testTimeout).Should(Equal(http.StatusOK))
+		s, store, stop := startOnStandin()
 		client, err := admin.NewClient(admin.ClientConfig{Servers: []string{s.Listen.Admin}, Token: token, Attempts: 1})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = client.Submit(context.Background(), firstTicket())
--- a/internal/daemon/admin_stop_test.go
+++ b/internal/daemon/admin_stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -18,13 +17,7 @@
 	// Guards against an operator who gets EOF in place of the response that says
 	// whether to submit the ticket again.
 	It("answers them before it closes their connections", func() {
-		store := standin.New()
-		platform := httptest.NewServer(store)
-		DeferCleanup(platform.Close)
-		s := newSettings("vm-1", platform.URL)
-		s.Timeouts.DrainNotice = 100 * time.Millisecond
-		stop := start(s)
-		Eventually(ready(s), testTimeout).Should(Equal(http.StatusOK))
+		s, store, stop := startOnStandin()
 		body, err := ticketfile.Compact(firstTicket())
 		Expect(err).NotTo(HaveOccurred())
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -139,6 +139,20 @@
 	}
 }
 
+// startOnStandin starts the daemon vm-1 on a stand-in of the platform and waits until
+// it is ready. The returned function stops the daemon.
+func startOnStandin() (s *settings.Settings, store *standin.Server, stop func() error) {
+	GinkgoHelper()
+	store = standin.New()
+	platform := httptest.NewServer(store)
+	DeferCleanup(platform.Close)
+	s = newSettings("vm-1", platform.URL)
+	s.Timeouts.DrainNotice = 100 * time.Millisecond
+	stop = start(s)
+	Eventually(ready(s), testTimeout).Should(Equal(http.StatusOK))
+	return s, store, stop
+}
+
 var _ = Describe("daemons of one mesh", func() {
 	var endpoint, dir string
 
--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -69,6 +69,24 @@
 	return front.URL
 }
 
+// serveConns calls serve for each connection to the returned address.
+func serveConns(serve func(net.Conn)) (address string) {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // repeatTime is when a repeatingTarget sends a refusal again.
 type repeatTime int
 
@@ -82,7 +100,7 @@
 // /first when it gets them for the first time. It runs all others. It sends each
 // refusal a second time on its connection.
 type repeatingTarget struct {
-	listener net.Listener
+	address string
 	// refusal is the response to the requests that it refuses. "%s" stands for the
 	// request's id.
 	refusal string
@@ -94,19 +112,8 @@
 }
 
 func newRepeatingTarget(refusal string, when repeatTime) *repeatingTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	t := &repeatingTarget{listener: listener, refusal: refusal, when: when, arrivals: map[string]int{}, runs: map[string]int{}}
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go t.serve(conn)
-		}
-	}()
+	t := &repeatingTarget{refusal: refusal, when: when, arrivals: map[string]int{}, runs: map[string]int{}}
+	t.address = serveConns(t.serve)
 	return t
 }
 
@@ -194,7 +201,7 @@
 			for _, size := range []int{0, 100 << 10, 2 << 20} {
 				It(fmt.Sprintf("refuses no other request: %s, %s, %d bytes", refusal.name, moment, size), func() {
 					targets := []*repeatingTarget{newRepeatingTarget(refusal.text, repeatTime(when)), newRepeatingTarget(refusal.text, repeatTime(when))}
-					url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].listener.Addr().String(), targets[1].listener.Addr().String())
+					url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].address, targets[1].address)
 					for i := range 6 {
 						sendWithID(url+"/refuse", fmt.Sprintf("refused-%d", i), size)
 						id := fmt.Sprintf("run-%d", i)
@@ -216,7 +223,7 @@
 	It("refuses no later attempt at the same request", func() {
 		text := refusalOf("503 Service Unavailable", withID+"X-Not-Run: 1\r\n")
 		targets := []*repeatingTarget{newRepeatingTarget(text, beforeBody), newRepeatingTarget(text, beforeBody)}
-		url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].listener.Addr().String(), targets[1].listener.Addr().String())
+		url := newVerifyingMesh(model.Route{Timeout: 5 * time.Second, Objective: time.Second}, targets[0].address, targets[1].address)
 		for i := range 6 {
 			id := fmt.Sprintf("first-%d", i)
 			status, _ := sendWithID(url+"/first", id, 0)
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -17,48 +17,29 @@
 	"github.com/magnoliamount/magnoliamount/internal/model"
 )
 
-// truncatingTarget sends as many bytes of the response as the path of the request
-// states, and then closes or resets the connection.
-type truncatingTarget struct {
-	listener net.Listener
-	response string
-	reset    bool
-}
-
-func newTruncatingTarget(response string, reset bool) *truncatingTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	t := &truncatingTarget{listener: listener, response: response, reset: reset}
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go t.serve(conn.(*net.TCPConn))
+// newTruncatingTarget starts a target that sends as many bytes of the response as the
+// path of the request states, and then closes or resets the connection. It returns
+// its address.
+func newTruncatingTarget(response string, reset bool) (address string) {
+	GinkgoHelper()
+	return serveConns(func(conn net.Conn) {
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return t
-}
-
-func (t *truncatingTarget) serve(conn *net.TCPConn) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	length, err := strconv.Atoi(r.URL.Path[1:])
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, t.response[:length])
-	if t.reset {
-		_ = conn.SetLinger(0)
-	}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		length, err := strconv.Atoi(r.URL.Path[1:])
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response[:length])
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
 }
 
 // wireResponse is a response of a target as bytes.
@@ -148,7 +129,7 @@
 				It(fmt.Sprintf("is no complete success: %s, request of %d bytes, reset %t", response, requestBytes, reset), func() {
 					whole := response.head + response.body + response.end
 					target := newTruncatingTarget(whole, reset)
-					url := newVerifyingMesh(model.Route{}, target.listener.Addr().String())
+					url := newVerifyingMesh(model.Route{}, target)
 					if !reset {
 						status, body, trailer, err := receiveWhole(url, len(whole), requestBytes)
 						Expect(err).NotTo(HaveOccurred())
@@ -198,7 +179,7 @@
 			continue
 		}
 		whole := response.head + response.body + response.end
-		url := newVerifyingMesh(model.Route{}, newTruncatingTarget(whole, false).listener.Addr().String())
+		url := newVerifyingMesh(model.Route{}, newTruncatingTarget(whole, false))
 		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
