--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -381,7 +381,7 @@
 	defer cancel()
 	err := d.servers.shutdown(ctx)
 	if err != nil {
-		d.servers.breakOff()
+		d.servers.cancelInFlight()
 	}
 	d.logger.Info().Str("event", "daemon-stopped").Err(err).Dur("took", time.Since(stopRequested)).Msg("daemon stopped")
 }
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -183,9 +183,9 @@
 	return <-failures
 }
 
-// breakOff cancels the requests that shutdown has not waited for, and waits until
+// cancelInFlight cancels the requests that shutdown has not waited for, and waits until
 // the proxies have responded to them.
-func (s *servers) breakOff() {
+func (s *servers) cancelInFlight() {
 	s.cancelRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
 	defer cancel()
