--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -42,7 +42,7 @@
 			n.identifyOrder(o.Service)
 			return false
 		}
-		if n.moves[o.Service].supersedes(o) {
+		if n.moves[o.Service].isNewerThan(o) {
 			return false
 		}
 		if slices.ContainsFunc(known.earlier, func(e Order) bool {
@@ -95,9 +95,10 @@
 	return r.To == o.Version && (within-o.Within).Abs() <= time.Millisecond
 }
 
-// supersedes reports whether the order comes from the backup, where a move that a
-// later one has replaced refers to it.
-func (m *serviceMove) supersedes(o Order) bool {
+// isNewerThan reports whether the move has replaced that of the order, which then
+// comes from the backup: the record in the backup refers to the order, and the
+// move's own record to a later one.
+func (m *serviceMove) isNewerThan(o Order) bool {
 	if m == nil || m.record == nil || m.storedRecord == nil || m.storedRecord.Order >= m.record.Order {
 		return false
 	}
--- a/internal/mesh/restore_test.go
+++ b/internal/mesh/restore_test.go
@@ -133,7 +133,7 @@
 
 	// Guards against an order in the backup that undoes the later one, which is
 	// written again only after it was read.
-	It("do not follow an order of the backup that a later one has superseded", func() {
+	It("do not follow an order of the backup that a later one has replaced", func() {
 		first := f.orderMove("v2", within)
 		f.run(20 * time.Second)
 		before = f.backup()
