--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -240,7 +240,7 @@
 
 // retryable reports whether the attempt's outcome allows another attempt.
 func (x *exchange) retryable(a *attempt) bool {
-	if x.ctx.Err() != nil || !time.Now().Before(x.deadline) || x.o.config.Ending.isTooLate(x.deadline) {
+	if x.ctx.Err() != nil || !time.Now().Before(x.deadline) || x.o.config.StopDeadline.isTooLate(x.deadline) {
 		return false
 	}
 	if a.failure == nil && a.result.response.Header.Get(NoRetryHeader) != "" {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -56,8 +56,8 @@
 	// buffered completely before they are forwarded. Zero means that bodies are
 	// streamed, except for short responses of known length.
 	BufferBytes int
-	// Ending, if set, tells when the daemon ends.
-	Ending *Ending
+	// StopDeadline, if set, tells when the daemon ends.
+	StopDeadline *StopDeadline
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
@@ -88,8 +88,8 @@
 	// OnTargetLost, if set, is called when the target refuses connections or
 	// another target process listens on its address.
 	OnTargetLost func(instance string, err error)
-	// Ending, if set, tells when the daemon ends.
-	Ending *Ending
+	// StopDeadline, if set, tells when the daemon ends.
+	StopDeadline *StopDeadline
 	// Now is the time source; nil means time.Now.
 	Now func() time.Time
 }
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -48,18 +48,18 @@
 // acquire waits for a slot. It fails with fault.Overloaded when the request is
 // shed, with fault.NotReady when the gate is closed, and with fault.Timeout
 // when the context ends or the request is too late for ending first.
-func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter, ending *Ending) error {
+func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter, stop *StopDeadline) error {
 	admitted := g.enqueue(now(), w)
 	if admitted == nil {
 		return verdictError(w.Verdict)
 	}
-	late := ending.lateChannel()
+	late := stop.lateChannel()
 	for waiting := true; waiting; {
 		select {
 		case <-admitted:
 			return verdictError(w.Verdict)
 		case <-late:
-			late, waiting = nil, !ending.isTooLate(w.Deadline)
+			late, waiting = nil, !stop.isTooLate(w.Deadline)
 		case <-ctx.Done():
 			waiting = false
 		}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -139,7 +139,7 @@
 		s.refuse(refused)
 		return
 	}
-	if err := s.backend.gate.acquire(s.ctx, n.config.Now, waiter, n.config.Ending); err != nil {
+	if err := s.backend.gate.acquire(s.ctx, n.config.Now, waiter, n.config.StopDeadline); err != nil {
 		if refused := s.refusalIfLate(); refused != nil {
 			s.refuse(refused)
 			return
@@ -251,7 +251,7 @@
 		defer load.ReleaseBody(s.r.ContentLength)
 	}
 	if s.n.config.BufferBytes > 0 {
-		stop := s.n.config.Ending.interruptRead(s.source, s.w, s.deadline)
+		stop := s.n.config.StopDeadline.interruptRead(s.source, s.w, s.deadline)
 		err := s.source.fillTo(s.n.config.BufferBytes)
 		stop()
 		if refused := s.refusalIfLate(); refused != nil {
@@ -276,7 +276,7 @@
 // refusalIfLate returns the refusal of a request that is too late for a daemon that
 // stops, or nil.
 func (s *service) refusalIfLate() *refusal {
-	refused := s.n.config.Ending.refusal(s.deadline)
+	refused := s.n.config.StopDeadline.refusal(s.deadline)
 	if refused != nil {
 		refused.targetUnavailable = true
 	}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -252,10 +252,10 @@
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(outcomeGrace))
 	x.source.setReadDeadline(x.w, x.deadline.Add(outcomeGrace))
 	if x.o.config.BufferBytes > 0 {
-		stop := x.o.config.Ending.interruptRead(x.source, x.w, x.deadline)
+		stop := x.o.config.StopDeadline.interruptRead(x.source, x.w, x.deadline)
 		err := x.source.fillTo(x.o.config.BufferBytes)
 		stop()
-		if refused := x.o.config.Ending.refusal(x.deadline); refused != nil {
+		if refused := x.o.config.StopDeadline.refusal(x.deadline); refused != nil {
 			return refused
 		}
 		if err != nil {
@@ -266,7 +266,7 @@
 	if refused := x.checkQuarantine(); refused != nil {
 		return refused
 	}
-	return x.o.config.Ending.refusal(x.deadline)
+	return x.o.config.StopDeadline.refusal(x.deadline)
 }
 
 func (x *exchange) checkQuarantine() *refusal {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -127,9 +127,9 @@
 	// no more requests.
 	stopping atomic.Bool
 	leaving  atomic.Bool
-	// ending tells the proxies when the daemon ends.
-	ending     *proxy.Ending
-	peerClient *http.Client
+	// stopDeadline tells the proxies when the daemon ends.
+	stopDeadline *proxy.StopDeadline
+	peerClient   *http.Client
 }
 
 // Run runs a daemon until ctx ends or a listener fails, and then shuts it down
@@ -180,16 +180,16 @@
 	d.targetRow = newTargetRowWriter(d)
 	d.storeCalls = newStoreCallCounter(d.registry)
 	d.serverCallDetector = routing.NewServerCallDetector()
-	d.ending = proxy.NewEnding()
+	d.stopDeadline = proxy.NewStopDeadline()
 	metrics := proxy.NewMetrics(d.registry)
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: config.Domain, VM: config.VM, Link: d.link, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: d, Metrics: metrics,
 		Protocol: config.Protocol, CallerService: config.Service, BufferBytes: bufferBytes,
-		ObservedAtTargets: true, Ending: d.ending,
+		ObservedAtTargets: true, StopDeadline: d.stopDeadline,
 	})
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Observer: d, Metrics: metrics, Protocol: config.Protocol, BufferBytes: bufferBytes, OnTargetLost: d.targetLost,
-		Link: d.link, ServerCalls: d.serverCallDetector, Ending: d.ending,
+		Link: d.link, ServerCalls: d.serverCallDetector, StopDeadline: d.stopDeadline,
 	})
 	return d
 }
@@ -369,7 +369,7 @@
 	d.stopping.Store(true)
 	stopRequested := time.Now()
 	end := stopRequested.Add(d.config.Grace - stopMargin)
-	d.ending.Set(stopRequested.Add(time.Duration(lateFraction*float64(d.config.Grace))), end)
+	d.stopDeadline.Set(stopRequested.Add(time.Duration(lateFraction*float64(d.config.Grace))), end)
 	// The requests in flight get at least as much time as the notice.
 	notice := min(d.config.StopNotice, max(0, d.config.Grace-stopMargin)/2)
 	lastNotice := min(notice, leaveNotice)
