--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(GO) test -count=1 -v ./test/integration
 
 unit-tests:
-	$(GO) test $$($(GO) list $(PACKAGES) | grep -v -e /test/integration -e '/platform$$')
+	$(GO) test $$($(GO) list $(PACKAGES) | grep -v -e /test/integration -e 'magnoliamount/platform$$')
 
 # The specs of package platform mostly wait, so they run as several processes at once.
 # The last part runs every file that no other part names.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,8 +51,8 @@
 	targets   *proxy.Registry
 	claims    *once.Batcher
 	servers   servers
-	// ending tells the proxies when the daemon ends.
-	ending *proxy.Ending
+	// stopDeadline tells the proxies when the daemon ends.
+	stopDeadline *proxy.StopDeadline
 	// requestEventLimiter limits the rate of events about individual requests.
 	requestEventLimiter eventRateLimiter
 	// targetGeneration counts the changes of the target, so that a delayed change
@@ -101,13 +101,13 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings:  s,
-		logger:    logger,
-		registry:  prometheus.NewRegistry(),
-		events:    timeline.New(s.VM.Name, timelineCapacity, time.Now),
-		store:     store,
-		collector: move.NewCollector(),
-		ending:    proxy.NewEnding(),
+		settings:     s,
+		logger:       logger,
+		registry:     prometheus.NewRegistry(),
+		events:       timeline.New(s.VM.Name, timelineCapacity, time.Now),
+		store:        store,
+		collector:    move.NewCollector(),
+		stopDeadline: proxy.NewStopDeadline(),
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.claims = once.New(once.Config{Table: store.Table, Holder: s.VM.Name, WritesPerSecond: s.Limits.ClaimsPerSecond})
@@ -120,12 +120,12 @@
 	clock := lamportClock{d.events}
 	d.outbound = proxy.NewOutbound(proxy.OutboundConfig{
 		Domain: d.settings.VM.FailureDomain, Random: newRandom(), Observer: d, Clock: clock, Metrics: metrics,
-		RetryPercent: d.settings.Limits.RetryPercent, Ending: d.ending,
+		RetryPercent: d.settings.Limits.RetryPercent, StopDeadline: d.stopDeadline,
 	})
 	d.outbound.SetReady(fault.New(fault.NotReady, "the daemon has no configuration yet"))
 	d.inbound = proxy.NewInbound(proxy.InboundConfig{
 		Claimer: d.claims, Observer: d, Clock: clock, Metrics: metrics, DrainNotice: d.settings.Timeouts.DrainNotice,
-		Ending: d.ending,
+		StopDeadline: d.stopDeadline,
 	})
 	d.targets = proxy.NewRegistry(proxy.RegistryConfig{LocalAddresses: ownAddresses(d.settings), OnChange: d.targetChanged})
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -134,12 +134,12 @@
 	return <-failures
 }
 
-// finalResponseTime bounds the time for the responses to requests that are broken off.
+// finalResponseTime bounds the time for the responses to requests that are canceled.
 const finalResponseTime = 200 * time.Millisecond
 
-// breakOff cancels the requests that shutdown has not waited for, and waits until
+// cancelInFlight cancels the requests that shutdown has not waited for, and waits until
 // the proxies have responded to them.
-func (s *servers) breakOff() {
+func (s *servers) cancelInFlight() {
 	s.cancelRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
 	defer cancel()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -26,7 +26,7 @@
 func (d *Daemon) stop(cause error) error {
 	stopRequested, drain := time.Now(), d.settings.Timeouts.Drain
 	end := stopRequested.Add(drain)
-	d.ending.Set(stopRequested.Add(time.Duration(lateFraction*float64(drain))), end)
+	d.stopDeadline.Set(stopRequested.Add(time.Duration(lateFraction*float64(drain))), end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.stopping.Store(true)
@@ -34,7 +34,7 @@
 	drained := d.inbound.Drain(ctx)
 	stopped := d.servers.shutdown(ctx)
 	if stopped != nil {
-		d.servers.breakOff()
+		d.servers.cancelInFlight()
 	}
 	flushed := d.claims.Close(ctx)
 	d.loop.post(core.Leave{})
--- a/internal/proxy/status_test.go
+++ b/internal/proxy/status_test.go
@@ -42,7 +42,7 @@
 	errors := gbytes.NewBuffer()
 	DeferCleanup(log.SetOutput, log.Writer())
 	log.SetOutput(errors)
-	url := newVerifyingMesh(model.Route{}, newTruncatingTarget(response, false).listener.Addr().String())
+	url := newVerifyingMesh(model.Route{}, newTruncatingTarget(response, false))
 	Expect(statusLine(url, len(response), bodyBytes)).To(HavePrefix("HTTP/1.1 502 "))
 	Expect(string(errors.Contents())).NotTo(ContainSubstring("panic"))
 },
