Ask other daemons for state that a restore has undone before a start follows the store

A daemon that started between a restore of the store and the operators' next write answered 404 for routes that had been added since the backup, and could start an ended move again: it read the backup's configuration and orders and had nothing to compare them with. For 700 ms it started no move, which helps only if another daemon can write the result.

A daemon whose first list of the mesh table has an era above zero now asks three of the listed daemons, and three others if none of them has loaded the tables, for the configuration in force if it is newer than the listed one, for the orders, and for the newest baselines, moves and crash counts with the versions under which they were written. It applies them before its lists, so it then treats the rows of the backup as a daemon does that has run all the time. The first rows of operators are applied after those of the mesh table, so an order of the backup that a later one has replaced is refused. The wait is at most 0.4 s for each of two rounds; a daemon that starts itself responds at once, so daemons that all start at the same time do not wait for each other. In era zero nothing is asked.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliamount/magnoliamount/internal/move"
 	"github.com/magnoliamount/magnoliamount/internal/proxy"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
 	"github.com/magnoliamount/magnoliamount/internal/timeline"
 )
 
@@ -118,10 +119,11 @@
 	// of the mesh table have been loaded; both belong to the event loop.
 	operatorsLoaded bool
 	meshLoaded      bool
-	// configurationValue is the row value of the configuration in force; it belongs
-	// to the event loop.
-	configurationValue []byte
-	ready              atomic.Bool
+	// configurationRow is the row of the configuration in force; it belongs to the
+	// event loop.
+	configurationRow rows.Row
+	firstLists       firstLists
+	ready            atomic.Bool
 	// stopping is true from the stop request on, so that callers leave. leaving is
 	// true from leaveNotice before the listeners close on, so that other daemons send
 	// no more requests.
@@ -168,7 +170,7 @@
 		config: config, started: time.Now(), logger: config.Logger, registry: prometheus.NewRegistry(),
 		events:    timeline.New(config.VM, timelineCapacity, time.Now),
 		collector: move.NewCollector(), target: newLocalTarget(0), loop: newLoop(),
-		holdReasons: map[string]string{}, tables: newTables(), senders: senderAddresses{port: portOf(config.Peer)}, peerClient: &http.Client{Timeout: evidenceTimeout}, longPollClient: &http.Client{},
+		holdReasons: map[string]string{}, firstLists: newFirstLists(), tables: newTables(), senders: senderAddresses{port: portOf(config.Peer)}, peerClient: &http.Client{Timeout: evidenceTimeout}, longPollClient: &http.Client{},
 	}
 	if config.LinkRate > 0 {
 		d.link = routing.NewLinkLoad(config.LinkRate)
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -77,6 +77,9 @@
 	table string
 	// copy is the local copy of the table; it belongs to the event loop.
 	copy *table
+	// prepare runs before the first list of the table is applied, outside the event
+	// loop. It may wait for other daemons.
+	prepare func(ctx context.Context, snapshot rows.Snapshot)
 	// reset applies a complete list of the table, and change applies a set of
 	// changes. They run in the event loop.
 	reset            func(now time.Time, snapshot rows.Snapshot)
@@ -104,6 +107,9 @@
 			continue
 		}
 		cause = causeCatchUp
+		if version == 0 && f.prepare != nil {
+			f.prepare(ctx, snapshot)
+		}
 		f.d.loop.post(func(now time.Time) {
 			// Another daemon may have sent newer rows meanwhile.
 			if snapshot.Version < f.copy.completeVersion {
@@ -289,7 +295,7 @@
 
 // operatorFollower returns the follower of the operators' table.
 func (d *Daemon) operatorFollower() *follower {
-	return &follower{d: d, table: d.config.Operators.Table(), copy: &d.tables.operators,
+	return &follower{d: d, table: d.config.Operators.Table(), copy: &d.tables.operators, prepare: d.awaitFirstMeshList,
 		reset: func(now time.Time, snapshot rows.Snapshot) {
 			for _, row := range d.tables.operators.merge(snapshot.Rows) {
 				d.applyOperatorRow(row)
@@ -335,15 +341,7 @@
 	}
 	switch v := decoded.(type) {
 	case *mesh.Configuration:
-		first := d.node.Configuration() == nil
-		if d.node.SetConfiguration(v) {
-			if first && d.target.state == member.Ready {
-				// The connection limit of the target comes from the configuration.
-				d.serveTarget()
-			}
-			d.configurationValue = row.Value
-			d.logger.Info().Str("event", "config-applied").Uint64("config", v.Version).Uint64("version", row.Version).Int("routes", len(v.Routes)).Int("bytes", len(row.Value)).Msg("configuration applied")
-		}
+		d.setConfiguration(row, v)
 		d.keepNewestConfiguration(row, v)
 	case *mesh.Order:
 		if d.node.SetOrder(*v) {
@@ -352,9 +350,24 @@
 	}
 }
 
+// setConfiguration puts a configuration in force if it is newer. It runs in the
+// event loop.
+func (d *Daemon) setConfiguration(row rows.Row, c *mesh.Configuration) {
+	first := d.node.Configuration() == nil
+	if !d.node.SetConfiguration(c) {
+		return
+	}
+	if first && d.target.state == member.Ready {
+		// The connection limit of the target comes from the configuration.
+		d.serveTarget()
+	}
+	d.configurationRow = row
+	d.logger.Info().Str("event", "config-applied").Uint64("config", c.Version).Uint64("version", row.Version).Int("routes", len(c.Routes)).Int("bytes", len(row.Value)).Msg("configuration applied")
+}
+
 // meshFollower returns the follower of the mesh table.
 func (d *Daemon) meshFollower() *follower {
-	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh,
+	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh, prepare: d.learnUndone,
 		reset: func(now time.Time, snapshot rows.Snapshot) {
 			d.enterEra(now, snapshot.Version)
 			d.logRefusedRows(d.node.Reset(now, snapshot.Rows))
@@ -364,6 +377,7 @@
 				d.targetRow.observe(row)
 			}
 			d.markMeshLoaded()
+			d.firstLists.setMeshApplied()
 			d.targetRow.update()
 		},
 		change: func(now time.Time, changes []rows.Change) {
--- a/internal/sidecar/follow_test.go
+++ b/internal/sidecar/follow_test.go
@@ -156,7 +156,7 @@
 		startReader := func(reading bool) string {
 			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				sleep(r.Context(), 50*time.Millisecond)
-				writeGossip(w, &gossipMessage{VM: "b", Reading: reading})
+				writeJSON(w, &gossipMessage{VM: "b", Reading: reading})
 			}))
 			DeferCleanup(peer.Close)
 			return peer.Listener.Addr().String()
@@ -179,7 +179,7 @@
 	It("end when the store rejects the daemon's calls and another daemon responds", func() {
 		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			sleep(r.Context(), 50*time.Millisecond)
-			writeGossip(w, &gossipMessage{VM: "b", Reading: true})
+			writeJSON(w, &gossipMessage{VM: "b", Reading: true})
 		}))
 		DeferCleanup(peer.Close)
 		store := &changingStore{}
@@ -201,7 +201,7 @@
 	// must still be detected.
 	It("do not start while the reader reports that the store is down, until a probe succeeds", func() {
 		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			writeGossip(w, &gossipMessage{VM: "b", Reading: true, StoreUnavailable: true})
+			writeJSON(w, &gossipMessage{VM: "b", Reading: true, StoreUnavailable: true})
 		}))
 		DeferCleanup(peer.Close)
 		store := &changingStore{}
--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -266,11 +266,11 @@
 	})
 	if len(newer) == 0 || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		response.addRows(newer)
-		writeGossip(w, &response)
+		writeJSON(w, &response)
 	} else {
 		writeEncoded(w, d.responses.get(key, func() []byte {
 			response.addRows(newer)
-			return encodeGossip(&response)
+			return encodeCompressed(&response)
 		}))
 	}
 	if behind && !longPoll && message.Peer != "" {
@@ -289,15 +289,15 @@
 	}
 }
 
-// writeGossip sends the message as uncompressed JSON.
-func writeGossip(w http.ResponseWriter, message *gossipMessage) {
+// writeJSON sends the message as uncompressed JSON.
+func writeJSON(w http.ResponseWriter, message any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A write error needs no handling: a daemon that got no response asks another
 	// one.
 	_ = json.NewEncoder(w).Encode(message)
 }
 
-// writeEncoded sends a message that encodeGossip returned.
+// writeEncoded sends a message that encodeCompressed returned.
 func writeEncoded(w http.ResponseWriter, encoded []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
--- a/internal/sidecar/response_cache.go
+++ b/internal/sidecar/response_cache.go
@@ -67,10 +67,10 @@
 	return encoded
 }
 
-// encodeGossip returns the message as gzip-compressed JSON. A configuration
+// encodeCompressed returns the message as gzip-compressed JSON. A configuration
 // with many routes takes a few hundred kilobytes, and small VMs have slow
 // links.
-func encodeGossip(message *gossipMessage) []byte {
+func encodeCompressed(message any) []byte {
 	var buffer bytes.Buffer
 	// These calls cannot fail: the level is valid, the buffer is in memory, and the
 	// message holds only strings and numbers.
--- a/internal/sidecar/response_cache_test.go
+++ b/internal/sidecar/response_cache_test.go
@@ -23,7 +23,7 @@
 			return d.responses.get(d.responseKey(request, &response), func() []byte {
 				encoded++
 				response.addRows(d.tables.operators.rowsAfter(version))
-				return encodeGossip(&response)
+				return encodeCompressed(&response)
 			})
 		}
 		mergeRow(5)
--- a/internal/sidecar/restore.go
+++ b/internal/sidecar/restore.go
@@ -39,8 +39,8 @@
 // that a restore of the store brought back, so that other daemons are served the
 // newest one. It runs in the event loop.
 func (d *Daemon) keepNewestConfiguration(row rows.Row, c *mesh.Configuration) {
-	if c.Version < d.node.Configuration().Version && d.configurationValue != nil {
-		row.Value = d.configurationValue
+	if c.Version < d.node.Configuration().Version && d.configurationRow.Value != nil {
+		row.Value = d.configurationRow.Value
 		d.tables.operators.replace(row)
 	}
 }
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -157,7 +157,7 @@
 		peer := http.NewServeMux()
 		peer.HandleFunc("POST /v1/rows", func(w http.ResponseWriter, r *http.Request) {
 			sleep(r.Context(), longPollTimeout)
-			writeGossip(w, &gossipMessage{VM: "b", Reading: true})
+			writeJSON(w, &gossipMessage{VM: "b", Reading: true})
 		})
 		reader := httptest.NewServer(peer)
 		DeferCleanup(reader.Close)
--- /dev/null
+++ b/internal/sidecar/undone.go
@@ -0,0 +1,279 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/fault"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+const (
+	// undonePath is the path on the peer listener at which a starting daemon gets
+	// the state that a restore of the store may have undone.
+	undonePath = "/v2/undone"
+	// undoneRounds and undoneRoundTimeout bound the time for which a start waits
+	// for other daemons, some of which may be down. A round asks gossipFanout
+	// daemons; another one follows only if none of them has loaded the tables.
+	undoneRounds       = 2
+	undoneRoundTimeout = 400 * time.Millisecond
+	// configurationListDelay bounds how long the rounds wait for the list of the
+	// operators' table, which is requested at the same time.
+	configurationListDelay = 200 * time.Millisecond
+	// firstOperatorRowsDelay bounds how long the first rows of operators wait for
+	// the first list of the mesh table, which follows the rounds.
+	firstOperatorRowsDelay = configurationListDelay + undoneRounds*undoneRoundTimeout + 200*time.Millisecond
+)
+
+// firstLists passes the results of a daemon's first lists between the followers
+// of its tables.
+type firstLists struct {
+	// configuration receives the version of the configuration in the first list of
+	// the operators' table, or zero without one.
+	configuration chan uint64
+	// meshApplied is closed when the first list of the mesh table is applied.
+	meshApplied chan struct{}
+	once        sync.Once
+}
+
+func newFirstLists() firstLists {
+	return firstLists{configuration: make(chan uint64, 1), meshApplied: make(chan struct{})}
+}
+
+func (l *firstLists) setMeshApplied() { l.once.Do(func() { close(l.meshApplied) }) }
+
+// undoneRequest asks for the state that a restored store may lack.
+type undoneRequest struct {
+	// Configuration is the version of the configuration that the sender has.
+	Configuration uint64 `json:"configuration"`
+}
+
+// undoneResponse is the state of a daemon that a restore of the store may have
+// undone.
+type undoneResponse struct {
+	VM string `json:"vm"`
+	// Loaded is false while the daemon has not loaded both tables itself.
+	Loaded bool `json:"loaded"`
+	// Configuration is the row of the configuration in force if it is newer than
+	// the sender's.
+	Configuration []wireRow     `json:"configuration,omitempty"`
+	Orders        []undoneOrder `json:"orders,omitempty"`
+	Mesh          []wireRow     `json:"mesh,omitempty"`
+}
+
+// undoneOrder is a mesh.Order in an undoneResponse.
+type undoneOrder struct {
+	Service  string `json:"service"`
+	Version  string `json:"version"`
+	WithinNS int64  `json:"within_ns"`
+	Revision uint64 `json:"revision"`
+}
+
+// serveUndone serves undonePath.
+func (d *Daemon) serveUndone(w http.ResponseWriter, r *http.Request) {
+	var request undoneRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxGossipBytes)).Decode(&request); err != nil {
+		http.Error(w, "the request cannot be decoded", http.StatusBadRequest)
+		return
+	}
+	var response undoneResponse
+	d.loop.call(func(time.Time) { response = d.undoneState(request.Configuration) })
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		writeEncoded(w, encodeCompressed(&response))
+		return
+	}
+	writeJSON(w, &response)
+}
+
+// undoneState returns the state that a restored store may lack, with the
+// configuration if it is newer than the version. It runs in the event loop.
+func (d *Daemon) undoneState(configuration uint64) undoneResponse {
+	response := undoneResponse{VM: d.config.VM, Loaded: d.meshLoaded && d.operatorsLoaded, Mesh: toWireRows(d.node.KnownRows())}
+	if c := d.node.Configuration(); c != nil && c.Version > configuration {
+		response.Configuration = toWireRows([]rows.Row{d.configurationRow})
+	}
+	for _, o := range d.node.KnownOrders() {
+		response.Orders = append(response.Orders, undoneOrder{o.Service, o.Version, int64(o.Within), o.Revision})
+	}
+	return response
+}
+
+// learnUndone asks other daemons for the state that the store may lack, and
+// applies it before the daemon's first list of the mesh table. Without it, a
+// daemon that starts after a restore of the store takes the configuration, the
+// orders and the moves of the backup for the newest ones.
+func (d *Daemon) learnUndone(ctx context.Context, snapshot rows.Snapshot) {
+	era := rows.Era(snapshot.Version)
+	if era == 0 {
+		return
+	}
+	var configuration uint64
+	select {
+	case configuration = <-d.firstLists.configuration:
+	case <-time.After(configurationListDelay):
+	}
+	peers := d.listedPeers(snapshot)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var all []*undoneResponse
+	loaded := 0
+	for range undoneRounds {
+		asked := peers[:min(gossipFanout, len(peers))]
+		peers = peers[len(asked):]
+		for _, response := range d.requestUndone(ctx, asked, undoneRequest{Configuration: configuration}) {
+			all = append(all, response)
+			if response.Loaded {
+				loaded++
+			}
+		}
+		if loaded > 0 {
+			break
+		}
+	}
+	d.loop.call(func(now time.Time) { d.applyUndone(now, all) })
+	d.logger.Info().Str("event", "undone-state").Uint64("era", era).Int("responses", len(all)).Int("loaded", loaded).Msg("asked other daemons for state that the store may lack")
+}
+
+// listedPeers returns the peer addresses of the daemons in the list of the mesh
+// table that have not left, and of those that have sent requests.
+func (d *Daemon) listedPeers(snapshot rows.Snapshot) []string {
+	known := map[string]bool{d.config.Peer: true}
+	var peers []string
+	add := func(address string) {
+		if address != "" && !known[address] {
+			known[address] = true
+			peers = append(peers, address)
+		}
+	}
+	for _, row := range snapshot.Rows {
+		record, err := mesh.DecodeTarget(row)
+		if err == nil && record.VM != d.config.VM && record.State != "gone" {
+			add(record.Peer)
+		}
+	}
+	for _, address := range d.senders.list() {
+		add(address)
+	}
+	return peers
+}
+
+// requestUndone asks the daemons at the addresses at the same time and returns
+// the responses that arrive within undoneRoundTimeout.
+func (d *Daemon) requestUndone(ctx context.Context, addresses []string, request undoneRequest) []*undoneResponse {
+	ctx, cancel := context.WithTimeout(ctx, undoneRoundTimeout)
+	defer cancel()
+	responses := make([]*undoneResponse, len(addresses))
+	var group sync.WaitGroup
+	for i, address := range addresses {
+		group.Go(func() {
+			response, err := d.sendUndone(ctx, address, request)
+			if err != nil {
+				d.logger.Debug().Err(err).Str("event", "undone-failed").Str("peer", address).Msg("request for undone state failed")
+				return
+			}
+			responses[i] = response
+		})
+	}
+	group.Wait()
+	var received []*undoneResponse
+	for _, response := range responses {
+		if response != nil {
+			received = append(received, response)
+		}
+	}
+	return received
+}
+
+// sendUndone asks the daemon at the address.
+func (d *Daemon) sendUndone(ctx context.Context, address string, message undoneRequest) (*undoneResponse, error) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "cannot encode a request for undone state")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+undonePath, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "invalid daemon address %q", address)
+	}
+	response, err := d.peerClient.Do(request)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "cannot reach the daemon at %s", address)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.Unavailable, "the daemon at %s responded with status %d", address, response.StatusCode)
+	}
+	received := &undoneResponse{}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxGossipBytes)).Decode(received); err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "cannot decode the response of the daemon at %s", address)
+	}
+	return received, nil
+}
+
+// applyUndone applies the state of other daemons. It runs in the event loop.
+func (d *Daemon) applyUndone(now time.Time, all []*undoneResponse) {
+	var orders []mesh.Order
+	var known []rows.Row
+	for _, response := range all {
+		for _, row := range fromWireRows(response.Configuration) {
+			d.applyKnownConfiguration(row)
+		}
+		for _, o := range response.Orders {
+			orders = append(orders, mesh.Order{Service: o.Service, Version: o.Version, Within: time.Duration(o.WithinNS), Revision: o.Revision})
+		}
+		known = append(known, fromWireRows(response.Mesh)...)
+	}
+	d.logRefusedRows(d.node.ApplyKnown(now, orders, known))
+}
+
+// applyKnownConfiguration applies a configuration that another daemon has in
+// force. It runs in the event loop.
+func (d *Daemon) applyKnownConfiguration(row rows.Row) {
+	decoded, err := d.config.Operators.Decode(row)
+	if err != nil {
+		d.logger.Error().Err(err).Str("event", "row-refused").Str("row", row.Name).Msg("invalid configuration of another daemon ignored")
+		return
+	}
+	if c, ok := decoded.(*mesh.Configuration); ok {
+		d.setConfiguration(row, c)
+	}
+}
+
+// awaitFirstMeshList returns when the mesh table was listed or after
+// firstOperatorRowsDelay, if the store was restored from a backup. An order of the
+// backup that a later one has replaced is refused only after that.
+func (d *Daemon) awaitFirstMeshList(ctx context.Context, snapshot rows.Snapshot) {
+	if rows.Era(snapshot.Version) == 0 {
+		return
+	}
+	select {
+	case d.firstLists.configuration <- d.listedConfiguration(snapshot):
+	default:
+	}
+	timeout := time.NewTimer(firstOperatorRowsDelay)
+	defer timeout.Stop()
+	select {
+	case <-d.firstLists.meshApplied:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+// listedConfiguration returns the version of the configuration in the list of the
+// operators' table, or zero without a valid one.
+func (d *Daemon) listedConfiguration(snapshot rows.Snapshot) uint64 {
+	for _, row := range snapshot.Rows {
+		if decoded, err := d.config.Operators.Decode(row); err == nil {
+			if c, ok := decoded.(*mesh.Configuration); ok {
+				return c.Version
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/sidecar/undone_test.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliamount/magnoliamount/internal/logging"
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
+	"github.com/magnoliamount/magnoliamount/internal/rows"
+)
+
+var _ = Describe("a start after a restore of the store", func() {
+	var d *Daemon
+	BeforeEach(func() {
+		d = New(Config{VM: "a", Peer: "127.0.0.1:1", Store: newRestoredStore(), Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
+	})
+
+	// Guards against a start that waits without bound for daemons that are listed and
+	// do not respond.
+	It("waits a bounded time for silent daemons", func() {
+		snapshot := rows.Snapshot{Version: rows.Version(1, 9)}
+		for _, vm := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Peer: listener.Addr().String()}
+			snapshot.Rows = append(snapshot.Rows, record.Row())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		begin := time.Now()
+		d.learnUndone(ctx, snapshot)
+		Expect(time.Since(begin)).To(BeNumerically("<", firstOperatorRowsDelay))
+	})
+
+	// Guards against an order of the backup that is applied before the mesh table,
+	// which shows that a later one has replaced it.
+	It("applies the first rows of operators after those of the mesh", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		applied := make(chan struct{})
+		go func() {
+			defer close(applied)
+			d.awaitFirstMeshList(ctx, rows.Snapshot{Version: rows.Version(1, 9)})
+		}()
+		Consistently(applied, 100*time.Millisecond).ShouldNot(BeClosed())
+		d.loop.call(func(now time.Time) { d.meshFollower().reset(now, rows.Snapshot{Version: rows.Version(1, 9)}) })
+		Eventually(applied, firstOperatorRowsDelay/2).Should(BeClosed())
+	})
+})
