Bound the time after which late daemons write rows again that a restore has undone

After a restore of the store, the daemons write lost baselines and finished moves in turn, 150 ms for each rank. A row that only a daemon of late rank knew was missing for up to 44 s at 295 daemons, and operators found no status of its move.

The delay now doubles the number of daemons that had their turn each 450 ms, is never longer than 150 ms for each rank, and is at most 4.5 s at any size. The row that a failed condition returns is applied, so a daemon that lost the race does not repeat its write every 200 ms until the row reaches it.

--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -67,13 +68,30 @@
 	}
 }
 
+const (
+	// restoreDoublingDelay is the time in which twice as many daemons get their turn
+	// to write rows that a restore of the store has undone. Within the 1.5 s that a
+	// row may take to reach all daemons of a large mesh, 10 daemons write it.
+	restoreDoublingDelay = 3 * candidacyDelay
+	// maxRestoreDelay bounds the delay in a mesh of any size. Daemons of rank 1,023
+	// and later share the last turn.
+	maxRestoreDelay = 10 * restoreDoublingDelay
+)
+
+// restoreDelay returns how long the daemon of the rank waits after a restore of the
+// store before it writes lost rows. Only daemons of late rank may know a row, so
+// the delay grows with the logarithm of the rank.
+func restoreDelay(rank int) time.Duration {
+	return min(time.Duration(math.Log2(float64(1+rank))*float64(restoreDoublingDelay)), time.Duration(rank)*candidacyDelay, maxRestoreDelay)
+}
+
 // restoreCommits returns the writes of baselines and finished moves that a
 // restore of the store has undone. The daemons write in turn, so that usually
 // only the first one does. The leader of an open move writes its record.
 func (n *Node) restoreCommits(now time.Time) []Commit {
 	var commits []Commit
 	myTurn := func(seed uint64) bool {
-		return !n.storeUnavailable && now.Sub(n.eraSince) >= time.Duration(n.leaderRank(seed))*candidacyDelay
+		return !n.storeUnavailable && now.Sub(n.eraSince) >= restoreDelay(n.leaderRank(seed))
 	}
 	for _, service := range slices.Sorted(maps.Keys(n.moves)) {
 		m := n.moves[service]
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/member"
@@ -159,11 +160,26 @@
 		delete(n.retryAt, purpose)
 		if err != nil {
 			n.retryAt[purpose] = now.Add(commitRetryDelay)
+			n.applyConflict(now, err)
 		}
 		done(now, version, err)
 	}}}
 }
 
+// applyConflict applies the rows that a failed condition returned. They reach this
+// daemon later otherwise, and until then it would repeat the write.
+func (n *Node) applyConflict(now time.Time, err error) {
+	var conflict *rows.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	for _, row := range conflict.Rows {
+		// A row that cannot be decoded is reported when the table returns it.
+		_ = n.apply(now, row)
+	}
+	n.routingChanged = n.routingChanged || len(conflict.Rows) > 0
+}
+
 // leadCommit returns the write that makes this daemon the leader of a move. The
 // condition on the row's version lets only one of several candidates succeed.
 func (n *Node) leadCommit(start time.Time, m *serviceMove, record *moveRecord, storeClock time.Duration) []Commit {
