Write the state of targets that have left again after a restore of the store

A daemon that started after a restore took a target that had left since the backup for ready, because nobody writes the row of a VM whose daemon has ended. It sent requests there, which fail after 250 ms, counted the daemon in its part of the retry budget, and could choose it as a reader. Daemons that had run all the time kept what they knew, so the two chose different readers.

A node now notes the target rows of the store whose records are older than the known ones. From 2 s after the restore on, when running daemons have written their own rows, the daemons write the records of targets that are not ready in turn, up to 64 in one write under conditions on the rows' versions. KnownRows holds them too, for daemons that start before that. The fake store of the specs returns the rows of failed conditions now, as rows.Store requires it.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -55,6 +55,9 @@
 	// eraSince.
 	era      uint64
 	eraSince time.Time
+	// undoneTargets holds the versions of the store's target rows whose content is
+	// older than the known record, by VM, after a restore of the store.
+	undoneTargets map[string]uint64
 }
 
 // knownTarget is a target's record and when this daemon received it.
@@ -75,7 +78,7 @@
 		self: self, orders: map[string]knownOrder{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, unwrittenCrashes: map[uint64]uint32{},
 		brakes: map[uint64]string{}, writesInProgress: map[string]bool{}, retryAt: map[string]time.Time{},
-		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{},
+		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{}, undoneTargets: map[string]uint64{},
 	}
 }
 
@@ -103,10 +106,11 @@
 func (n *Node) Reset(now time.Time, all []rows.Row) []error {
 	old := n.targets
 	n.targets = map[string]knownTarget{}
-	listed := map[string]bool{}
+	clear(n.undoneTargets)
+	listed := map[string]uint64{}
 	var failures []error
 	for _, row := range all {
-		listed[row.Name] = true
+		listed[row.Name] = row.Version
 		if err := n.apply(now, row); err != nil {
 			failures = append(failures, err)
 		}
@@ -114,19 +118,22 @@
 	for vm, before := range old {
 		known, ok := n.targets[vm]
 		switch {
-		case !ok, ok && before.record.newer(known.record):
+		case !ok:
 			n.targets[vm] = before
+		case before.record.newer(known.record):
+			n.targets[vm] = before
+			n.noteTargetRow(vm, listed[targetPrefix+vm], known.record)
 		case ok && before.record.Incarnation == known.record.Incarnation && before.record.Era == known.record.Era:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
 		}
 	}
 	for service, m := range n.moves {
-		if !listed[movePrefix+service] && rows.Era(m.origin) >= n.era {
+		if listed[movePrefix+service] == 0 && rows.Era(m.origin) >= n.era {
 			m.record, m.replica = nil, replica{}
 		}
 	}
 	for service, b := range n.baselines {
-		if !listed[baselinePrefix+service] && rows.Era(b.origin) >= n.era {
+		if listed[baselinePrefix+service] == 0 && rows.Era(b.origin) >= n.era {
 			delete(n.baselines, service)
 		}
 	}
@@ -187,10 +194,10 @@
 	}
 	// A restore of the store gives all rows new versions. A record that is already
 	// known must keep its time of receipt, from which the cold time counts.
-	if known, ok := n.targets[record.VM]; ok && !record.newer(known.record) {
-		return nil
+	if known, ok := n.targets[record.VM]; !ok || record.newer(known.record) {
+		n.targets[record.VM] = knownTarget{record: record, received: now}
 	}
-	n.targets[record.VM] = knownTarget{record: record, received: now}
+	n.noteTargetRow(record.VM, row.Version, record)
 	return nil
 }
 
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -4,10 +4,12 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
@@ -102,6 +104,7 @@
 			commits = append(commits, n.recordCommit(now, m, &record, "restore move "+service)...)
 		}
 	}
+	commits = append(commits, n.leftTargetCommits(now)...)
 	for _, service := range slices.Sorted(maps.Keys(n.baselines)) {
 		b := n.baselines[service]
 		if m := n.moves[service]; m != nil && m.record != nil && m.record.Result == resultDone && m.lostIn(n.era) {
@@ -117,3 +120,61 @@
 	}
 	return commits
 }
+
+const (
+	// leftTargetDelay is the time after a restore of the store in which only the
+	// daemon of a target writes the target's row.
+	leftTargetDelay = 2 * time.Second
+	// maxTargetsPerWrite bounds the rows of targets in one write.
+	maxTargetsPerWrite = 64
+)
+
+// noteTargetRow records whether the record in the store's row of the target is
+// older than the known one.
+func (n *Node) noteTargetRow(vm string, version uint64, stored *TargetRecord) {
+	if n.era > 0 && rows.Era(version) == n.era && n.targets[vm].record.newer(stored) {
+		n.undoneTargets[vm] = version
+		return
+	}
+	delete(n.undoneTargets, vm)
+}
+
+// leftTargets returns the rows of targets that have left and whose rows in the
+// store do not say so, at most maxTargetsPerWrite.
+func (n *Node) leftTargets() []rows.Row {
+	var left []rows.Row
+	for _, vm := range slices.Sorted(maps.Keys(n.undoneTargets)) {
+		known, ok := n.targets[vm]
+		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && len(left) < maxTargetsPerWrite {
+			left = append(left, known.record.Row())
+		}
+	}
+	return left
+}
+
+// leftTargetCommits returns the write of the rows of targets that have left. Their
+// daemons may have ended, and daemons that start later would take the targets
+// for ready.
+func (n *Node) leftTargetCommits(now time.Time) []Commit {
+	if n.storeUnavailable || len(n.undoneTargets) == 0 || now.Sub(n.eraSince) < leftTargetDelay {
+		return nil
+	}
+	left := n.leftTargets()
+	if len(left) == 0 || now.Sub(n.eraSince) < leftTargetDelay+restoreDelay(n.leaderRank(n.era)) {
+		return nil
+	}
+	tx := rows.Transaction{Writes: left}
+	for _, row := range left {
+		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.undoneTargets[strings.TrimPrefix(row.Name, targetPrefix)]})
+	}
+	return n.startWrite(now, "restore targets", tx, nil, func(now time.Time, version uint64, err error) {
+		if err != nil {
+			return
+		}
+		for _, row := range left {
+			row.Version = version
+			// The row was encoded above, so it can be decoded.
+			_ = n.applyTarget(now, row)
+		}
+	})
+}
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -91,7 +91,7 @@
 			required = 0
 		}
 		if f.stored[c.Key].Version != required {
-			return 0, &rows.ConflictError{Cause: fault.New(fault.ConditionFailed, "conflict")}
+			return 0, &rows.ConflictError{Rows: f.conditionRows(tx), Cause: fault.New(fault.ConditionFailed, "conflict")}
 		}
 	}
 	f.writes++
@@ -101,6 +101,17 @@
 	return f.version, nil
 }
 
+// conditionRows returns the current rows of the transaction's conditions.
+func (f *fleet) conditionRows(tx rows.Transaction) []rows.Row {
+	var current []rows.Row
+	for _, c := range tx.Conditions {
+		if row, ok := f.stored[c.Key]; ok {
+			current = append(current, row)
+		}
+	}
+	return current
+}
+
 // orderMove submits an order to all nodes that are not partitioned.
 func (f *fleet) orderMove(version string, within time.Duration) uint64 {
 	f.version++
--- a/internal/mesh/undone.go
+++ b/internal/mesh/undone.go
@@ -31,7 +31,8 @@
 	slices.SortStableFunc(all, func(a, b Order) int { return cmp.Compare(a.Revision, b.Revision) })
 }
 
-// KnownRows returns the newest known baselines, moves and crash counts. Their
+// KnownRows returns the newest known baselines, moves and crash counts, and the
+// targets that have left if the store's rows do not say so. Their
 // versions are those under which the content was written, so that a node that
 // applies them before it enters a later era treats them like rows that it has
 // read before the restore.
@@ -54,7 +55,7 @@
 	for _, fingerprint := range slices.Sorted(maps.Keys(n.crashes)) {
 		add(crashPrefix+strconv.FormatUint(fingerprint, 16), 0, crashRecord{Count: n.crashes[fingerprint]})
 	}
-	return all
+	return append(all, n.leftTargets()...)
 }
 
 // ApplyKnown applies what other daemons returned from KnownOrders and KnownRows.
