Write rows of left targets only for records from before the restore, in turn

The daemons took turns by the time since the era began, so a row found to be older long after a restore, as after an outage in the same era, would have been written by all daemons at once, and also while its own daemon was about to write it. The turn now counts from when a daemon finds the row, and only records of an earlier era than the store's count as undone.

The specs on the code before:

is left to its own daemon without a restore [FAILED] Expected <int>: 1 to be zero-valued is written once when its row in the store is found late [FAILED] the daemons take turns Expected <int>: 1 to be zero-valued

Both pass now with the other specs of internal/mesh and internal/sidecar.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -55,9 +55,9 @@
 	// eraSince.
 	era      uint64
 	eraSince time.Time
-	// undoneTargets holds the versions of the store's target rows whose content is
-	// older than the known record, by VM, after a restore of the store.
-	undoneTargets map[string]uint64
+	// undoneTargets holds the target rows that a restore of the store has undone, by
+	// VM.
+	undoneTargets map[string]undoneTarget
 }
 
 // knownTarget is a target's record and when this daemon received it.
@@ -78,7 +78,7 @@
 		self: self, orders: map[string]knownOrder{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, unwrittenCrashes: map[uint64]uint32{},
 		brakes: map[uint64]string{}, writesInProgress: map[string]bool{}, retryAt: map[string]time.Time{},
-		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{}, undoneTargets: map[string]uint64{},
+		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{}, undoneTargets: map[string]undoneTarget{},
 	}
 }
 
@@ -122,7 +122,7 @@
 			n.targets[vm] = before
 		case before.record.newer(known.record):
 			n.targets[vm] = before
-			n.noteTargetRow(vm, listed[targetPrefix+vm], known.record)
+			n.noteTargetRow(now, vm, listed[targetPrefix+vm], known.record)
 		case ok && before.record.Incarnation == known.record.Incarnation && before.record.Era == known.record.Era:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
 		}
@@ -197,7 +197,7 @@
 	if known, ok := n.targets[record.VM]; !ok || record.newer(known.record) {
 		n.targets[record.VM] = knownTarget{record: record, received: now}
 	}
-	n.noteTargetRow(record.VM, row.Version, record)
+	n.noteTargetRow(now, record.VM, row.Version, record)
 	return nil
 }
 
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -122,30 +122,42 @@
 }
 
 const (
-	// leftTargetDelay is the time after a restore of the store in which only the
-	// daemon of a target writes the target's row.
+	// leftTargetDelay is the time in which only the daemon of a target writes the
+	// target's row, after another daemon has found that a restore has undone it.
 	leftTargetDelay = 2 * time.Second
 	// maxTargetsPerWrite bounds the rows of targets in one write.
 	maxTargetsPerWrite = 64
 )
 
-// noteTargetRow records whether the record in the store's row of the target is
-// older than the known one.
-func (n *Node) noteTargetRow(vm string, version uint64, stored *TargetRecord) {
-	if n.era > 0 && rows.Era(version) == n.era && n.targets[vm].record.newer(stored) {
-		n.undoneTargets[vm] = version
+// undoneTarget is a row of the store whose record is older than the known one.
+type undoneTarget struct {
+	version uint64
+	// since is when this daemon first received the row.
+	since time.Time
+}
+
+// noteTargetRow records whether a restore of the store has undone the known record
+// of the target. Otherwise the daemon of the target writes a newer record itself.
+func (n *Node) noteTargetRow(now time.Time, vm string, version uint64, stored *TargetRecord) {
+	known := n.targets[vm].record
+	if rows.Era(version) != n.era || known.Era >= n.era || !known.newer(stored) {
+		delete(n.undoneTargets, vm)
 		return
 	}
-	delete(n.undoneTargets, vm)
+	since := now
+	if noted, ok := n.undoneTargets[vm]; ok {
+		since = noted.since
+	}
+	n.undoneTargets[vm] = undoneTarget{version: version, since: since}
 }
 
 // leftTargets returns the rows of targets that have left and whose rows in the
-// store do not say so, at most maxTargetsPerWrite.
-func (n *Node) leftTargets() []rows.Row {
+// store have not said so since the time, at most maxTargetsPerWrite.
+func (n *Node) leftTargets(since time.Time) []rows.Row {
 	var left []rows.Row
 	for _, vm := range slices.Sorted(maps.Keys(n.undoneTargets)) {
 		known, ok := n.targets[vm]
-		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && len(left) < maxTargetsPerWrite {
+		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && !n.undoneTargets[vm].since.After(since) && len(left) < maxTargetsPerWrite {
 			left = append(left, known.record.Row())
 		}
 	}
@@ -156,16 +168,16 @@
 // daemons may have ended, and daemons that start later would take the targets
 // for ready.
 func (n *Node) leftTargetCommits(now time.Time) []Commit {
-	if n.storeUnavailable || len(n.undoneTargets) == 0 || now.Sub(n.eraSince) < leftTargetDelay {
+	if n.storeUnavailable || len(n.undoneTargets) == 0 {
 		return nil
 	}
-	left := n.leftTargets()
-	if len(left) == 0 || now.Sub(n.eraSince) < leftTargetDelay+restoreDelay(n.leaderRank(n.era)) {
+	left := n.leftTargets(now.Add(-leftTargetDelay - restoreDelay(n.leaderRank(n.era))))
+	if len(left) == 0 {
 		return nil
 	}
 	tx := rows.Transaction{Writes: left}
 	for _, row := range left {
-		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.undoneTargets[strings.TrimPrefix(row.Name, targetPrefix)]})
+		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.undoneTargets[strings.TrimPrefix(row.Name, targetPrefix)].version})
 	}
 	return n.startWrite(now, "restore targets", tx, nil, func(now time.Time, version uint64, err error) {
 		if err != nil {
--- a/internal/mesh/restore_left_test.go
+++ b/internal/mesh/restore_left_test.go
@@ -56,7 +56,7 @@
 		before := f.backup()
 		leave("vm4", "gone")
 		f.restore(before)
-		known := f.nodes["vm1"].KnownRows()
+		known := f.nodes["vm1"].KnownRows(f.now)
 		f.startNode("vm0", 99)
 		Expect(f.nodes["vm0"].ApplyKnown(f.now, nil, known)).To(BeEmpty())
 		f.reset("vm0")
@@ -79,6 +79,45 @@
 		Expect(storedState("vm4")).To(Equal("ready"))
 	})
 
+	// Guards against writes by all daemons at once when the store shows an older row
+	// without a restore, long after its era began.
+	It("is left to its own daemon without a restore", func() {
+		before := f.backup()
+		f.restore(before)
+		f.run(10 * time.Second)
+		record := mesh.TargetRecord{VM: "vm4", Era: f.era, Incarnation: 1, Sequence: 2, State: "draining", Inbound: "10.0.0.1:1", Service: "order", Version: "v1"}
+		for vm, n := range f.nodes {
+			n.MergeTarget(f.now, &record)
+			f.reset(vm)
+		}
+		f.writes = 0
+		f.run(5 * time.Second)
+		Expect(f.writes).To(BeZero())
+	})
+
+	// Guards against writes by all daemons at once when the row arrives long after
+	// the restore.
+	It("is written once when its row in the store is found late", func() {
+		before := f.backup()
+		leave("vm4", "gone")
+		f.restore(before)
+		for _, n := range f.nodes {
+			n.SetStoreUnavailable(true)
+		}
+		f.run(10 * time.Second)
+		for vm, n := range f.nodes {
+			n.SetStoreUnavailable(false)
+			f.reset(vm)
+		}
+		f.writes = 0
+		f.tick("vm0", false)
+		f.tick("vm1", false)
+		Expect(f.writes).To(BeZero(), "the daemons take turns")
+		f.run(4 * time.Second)
+		Expect(f.writes).To(Equal(1))
+		Expect(storedState("vm4")).To(Equal("gone"))
+	})
+
 	// Guards against more than one row in a write that fails as a whole each time,
 	// because one of the rows has changed.
 	It("is written again although the row of another one has changed", func() {
@@ -114,6 +153,7 @@
 		n.SetEra(start, 1)
 		Expect(n.Reset(start, ready)).To(BeEmpty())
 		commits, _ := n.Tick(start.Add(time.Minute), 0, false, nil, false)
+		Expect(n.KnownRows(start)).To(HaveLen(64))
 		Expect(commits).To(HaveLen(1))
 		Expect(commits[0].Transaction.Writes).To(HaveLen(64))
 		commits[0].Done(start.Add(time.Minute), rows.Version(1, 500), nil)
--- a/internal/mesh/undone.go
+++ b/internal/mesh/undone.go
@@ -36,7 +36,7 @@
 // versions are those under which the content was written, so that a node that
 // applies them before it enters a later era treats them like rows that it has
 // read before the restore.
-func (n *Node) KnownRows() []rows.Row {
+func (n *Node) KnownRows(now time.Time) []rows.Row {
 	var all []rows.Row
 	add := func(name string, version uint64, record any) {
 		row := encodeRow(meshKey(name), record)
@@ -55,7 +55,7 @@
 	for _, fingerprint := range slices.Sorted(maps.Keys(n.crashes)) {
 		add(crashPrefix+strconv.FormatUint(fingerprint, 16), 0, crashRecord{Count: n.crashes[fingerprint]})
 	}
-	return append(all, n.leftTargets()...)
+	return append(all, n.leftTargets(now)...)
 }
 
 // ApplyKnown applies what other daemons returned from KnownOrders and KnownRows.
--- a/internal/mesh/undone_test.go
+++ b/internal/mesh/undone_test.go
@@ -17,7 +17,7 @@
 	// reaches the store.
 	startWith := func(order mesh.Order) {
 		GinkgoHelper()
-		known, orders := f.nodes["vm1"].KnownRows(), f.nodes["vm1"].KnownOrders()
+		known, orders := f.nodes["vm1"].KnownRows(f.now), f.nodes["vm1"].KnownOrders()
 		f.startNode("vm0", 99)
 		f.nodes["vm0"].SetConfiguration(configuration(1))
 		Expect(f.nodes["vm0"].ApplyKnown(f.now, orders, known)).To(BeEmpty())
--- a/internal/sidecar/undone.go
+++ b/internal/sidecar/undone.go
@@ -85,7 +85,7 @@
 		return
 	}
 	var response undoneResponse
-	d.loop.call(func(time.Time) { response = d.undoneState(request.Configuration) })
+	d.loop.call(func(now time.Time) { response = d.undoneState(now, request.Configuration) })
 	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		writeEncoded(w, encodeCompressed(&response))
 		return
@@ -95,8 +95,8 @@
 
 // undoneState returns the state that a restored store may lack, with the
 // configuration if it is newer than the version. It runs in the event loop.
-func (d *Daemon) undoneState(configuration uint64) undoneResponse {
-	response := undoneResponse{VM: d.config.VM, Loaded: d.meshLoaded && d.operatorsLoaded, Mesh: toWireRows(d.node.KnownRows())}
+func (d *Daemon) undoneState(now time.Time, configuration uint64) undoneResponse {
+	response := undoneResponse{VM: d.config.VM, Loaded: d.meshLoaded && d.operatorsLoaded, Mesh: toWireRows(d.node.KnownRows(now))}
 	if c := d.node.Configuration(); c != nil && c.Version > configuration {
 		response.Configuration = toWireRows([]rows.Row{d.configurationRow})
 	}
