Do not let a start wait for listed daemons that are gone

Only daemons of ready targets are asked now, and a round ends 50 ms after the first response of a daemon that has loaded the tables.

The spec on the code before:

[FAILED] Expected <[]string | len:3, cap:4>: ["127.0.0.1:45479", "127.0.0.1:37613", "127.0.0.1:9"] to have length 2

--- a/internal/sidecar/undone.go
+++ b/internal/sidecar/undone.go
@@ -25,6 +25,9 @@
 	// daemons; another one follows only if none of them has loaded the tables.
 	undoneRounds       = 2
 	undoneRoundTimeout = 400 * time.Millisecond
+	// undoneFurtherDelay is how long a round waits for further daemons after one that
+	// has loaded the tables has responded. Some of the listed VMs may be gone.
+	undoneFurtherDelay = 50 * time.Millisecond
 	// configurationListDelay bounds how long the rounds wait for the list of the
 	// operators' table, which is requested at the same time.
 	configurationListDelay = 200 * time.Millisecond
@@ -147,8 +150,9 @@
 	d.logger.Info().Str("event", "undone-state").Uint64("era", era).Int("responses", len(all)).Int("loaded", loaded).Msg("asked other daemons for state that the store may lack")
 }
 
-// listedPeers returns the peer addresses of the daemons in the list of the mesh
-// table that have not left, and of those that have sent requests.
+// listedPeers returns the peer addresses of the daemons of ready targets in the list
+// of the mesh table, and of those that have sent requests. A daemon that is listed
+// as draining may have ended.
 func (d *Daemon) listedPeers(snapshot rows.Snapshot) []string {
 	known := map[string]bool{d.config.Peer: true}
 	var peers []string
@@ -160,7 +164,7 @@
 	}
 	for _, row := range snapshot.Rows {
 		record, err := mesh.DecodeTarget(row)
-		if err == nil && record.VM != d.config.VM && record.State != "gone" {
+		if err == nil && record.VM != d.config.VM && record.State == "ready" {
 			add(record.Peer)
 		}
 	}
@@ -171,27 +175,37 @@
 }
 
 // requestUndone asks the daemons at the addresses at the same time and returns
-// the responses that arrive within undoneRoundTimeout.
+// the responses that arrive within undoneRoundTimeout, or within undoneFurtherDelay
+// after the first one of a daemon that has loaded the tables.
 func (d *Daemon) requestUndone(ctx context.Context, addresses []string, request undoneRequest) []*undoneResponse {
 	ctx, cancel := context.WithTimeout(ctx, undoneRoundTimeout)
 	defer cancel()
-	responses := make([]*undoneResponse, len(addresses))
-	var group sync.WaitGroup
-	for i, address := range addresses {
-		group.Go(func() {
+	responses := make(chan *undoneResponse, len(addresses))
+	for _, address := range addresses {
+		go func() {
 			response, err := d.sendUndone(ctx, address, request)
 			if err != nil {
 				d.logger.Debug().Err(err).Str("event", "undone-failed").Str("peer", address).Msg("request for undone state failed")
-				return
 			}
-			responses[i] = response
-		})
+			responses <- response
+		}()
 	}
-	group.Wait()
 	var received []*undoneResponse
-	for _, response := range responses {
-		if response != nil {
+	var enough <-chan time.Time
+	for range addresses {
+		select {
+		case response := <-responses:
+			if response == nil {
+				continue
+			}
 			received = append(received, response)
+			if response.Loaded && enough == nil {
+				enough = time.After(undoneFurtherDelay)
+			}
+		case <-enough:
+			return received
+		case <-ctx.Done():
+			return received
 		}
 	}
 	return received
--- a/internal/sidecar/undone_test.go
+++ b/internal/sidecar/undone_test.go
@@ -41,6 +41,31 @@
 		Expect(time.Since(begin)).To(BeNumerically("<", firstOperatorRowsDelay))
 	})
 
+	// Guards against a start that waits for VMs that are gone, although another daemon
+	// has responded: daemons were ready 0.4 s later.
+	It("does not wait for silent daemons once another one has responded", func() {
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, &undoneResponse{VM: "b", Loaded: true}) }))
+		DeferCleanup(peer.Close)
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		snapshot := rows.Snapshot{Version: rows.Version(1, 9)}
+		for vm, address := range map[string]string{"b": peer.Listener.Addr().String(), "c": silent.Addr().String()} {
+			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Peer: address}
+			snapshot.Rows = append(snapshot.Rows, record.Row())
+		}
+		left := &mesh.TargetRecord{VM: "d", Incarnation: 1, State: "draining", Inbound: "10.0.0.1:1", Peer: "127.0.0.1:9"}
+		snapshot.Rows = append(snapshot.Rows, left.Row())
+		Expect(d.listedPeers(snapshot)).To(HaveLen(2))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		d.firstLists.configuration <- 1
+		begin := time.Now()
+		d.learnUndone(ctx, snapshot)
+		Expect(time.Since(begin)).To(BeNumerically("<", undoneRoundTimeout))
+	})
+
 	// Guards against requests of every daemon to three others at the start of the mesh
 	// on a store that was restored long before.
 	It("asks nobody at a first start of the mesh", func() {
