--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -2,11 +2,14 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnoliamount/magnoliamount/internal/member"
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
@@ -67,13 +70,30 @@
 	}
 }
 
+const (
+	// restoreDoublingDelay is the time in which twice as many daemons get their turn
+	// to write rows that a restore of the store has undone. Within the 1.5 s that a
+	// row may take to reach all daemons of a large mesh, 10 daemons write it.
+	restoreDoublingDelay = 3 * candidacyDelay
+	// maxRestoreDelay bounds the delay in a mesh of any size. Daemons of rank 1,023
+	// and later share the last turn.
+	maxRestoreDelay = 10 * restoreDoublingDelay
+)
+
+// restoreDelay returns how long the daemon of the rank waits after a restore of the
+// store before it writes lost rows. Only daemons of late rank may know a row, so
+// the delay grows with the logarithm of the rank.
+func restoreDelay(rank int) time.Duration {
+	return min(time.Duration(math.Log2(float64(1+rank))*float64(restoreDoublingDelay)), time.Duration(rank)*candidacyDelay, maxRestoreDelay)
+}
+
 // restoreCommits returns the writes of baselines and finished moves that a
 // restore of the store has undone. The daemons write in turn, so that usually
 // only the first one does. The leader of an open move writes its record.
 func (n *Node) restoreCommits(now time.Time) []Commit {
 	var commits []Commit
 	myTurn := func(seed uint64) bool {
-		return !n.storeUnavailable && now.Sub(n.eraSince) >= time.Duration(n.leaderRank(seed))*candidacyDelay
+		return !n.storeUnavailable && now.Sub(n.eraSince) >= restoreDelay(n.leaderRank(seed))
 	}
 	for _, service := range slices.Sorted(maps.Keys(n.moves)) {
 		m := n.moves[service]
@@ -84,6 +104,7 @@
 			commits = append(commits, n.recordCommit(now, m, &record, "restore move "+service)...)
 		}
 	}
+	commits = append(commits, n.leftTargetCommits(now)...)
 	for _, service := range slices.Sorted(maps.Keys(n.baselines)) {
 		b := n.baselines[service]
 		if m := n.moves[service]; m != nil && m.record != nil && m.record.Result == resultDone && m.lostIn(n.era) {
@@ -99,3 +120,73 @@
 	}
 	return commits
 }
+
+const (
+	// leftTargetDelay is the time in which only the daemon of a target writes the
+	// target's row, after another daemon has found that a restore has undone it.
+	leftTargetDelay = 2 * time.Second
+	// maxTargetsPerWrite bounds the rows of targets in one write.
+	maxTargetsPerWrite = 64
+)
+
+// undoneTarget is a row of the store whose record is older than the known one.
+type undoneTarget struct {
+	version uint64
+	// since is when this daemon first received the row.
+	since time.Time
+}
+
+// noteTargetRow records whether a restore of the store has undone the known record
+// of the target. Otherwise the daemon of the target writes a newer record itself.
+func (n *Node) noteTargetRow(now time.Time, vm string, version uint64, stored *TargetRecord) {
+	known := n.targets[vm].record
+	if rows.Era(version) != n.era || known.Era >= n.era || !known.newer(stored) {
+		delete(n.undoneTargets, vm)
+		return
+	}
+	since := now
+	if noted, ok := n.undoneTargets[vm]; ok {
+		since = noted.since
+	}
+	n.undoneTargets[vm] = undoneTarget{version: version, since: since}
+}
+
+// leftTargets returns the rows of targets that have left and whose rows in the
+// store have not said so since the time, at most maxTargetsPerWrite.
+func (n *Node) leftTargets(since time.Time) []rows.Row {
+	var left []rows.Row
+	for _, vm := range slices.Sorted(maps.Keys(n.undoneTargets)) {
+		known, ok := n.targets[vm]
+		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && !n.undoneTargets[vm].since.After(since) && len(left) < maxTargetsPerWrite {
+			left = append(left, known.record.Row())
+		}
+	}
+	return left
+}
+
+// leftTargetCommits returns the write of the rows of targets that have left. Their
+// daemons may have ended, and daemons that start later would take the targets
+// for ready.
+func (n *Node) leftTargetCommits(now time.Time) []Commit {
+	if n.storeUnavailable || len(n.undoneTargets) == 0 {
+		return nil
+	}
+	left := n.leftTargets(now.Add(-leftTargetDelay - restoreDelay(n.leaderRank(n.era))))
+	if len(left) == 0 {
+		return nil
+	}
+	tx := rows.Transaction{Writes: left}
+	for _, row := range left {
+		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.undoneTargets[strings.TrimPrefix(row.Name, targetPrefix)].version})
+	}
+	return n.startWrite(now, "restore targets", tx, nil, func(now time.Time, version uint64, err error) {
+		if err != nil {
+			return
+		}
+		for _, row := range left {
+			row.Version = version
+			// The row was encoded above, so it can be decoded.
+			_ = n.applyTarget(now, row)
+		}
+	})
+}
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/member"
@@ -156,6 +157,7 @@
 		switch {
 		case err != nil:
 			n.retryAt[purpose] = now.Add(commitRetryDelay)
+			n.applyConflict(now, err)
 		case rows.Era(version) > n.era:
 			// The record has the era before a restore, so it does not replace the known
 			// one. SetEra allows the next write.
@@ -165,6 +167,20 @@
 	}}}
 }
 
+// applyConflict applies the rows that a failed condition returned. They reach this
+// daemon later otherwise, and until then it would repeat the write.
+func (n *Node) applyConflict(now time.Time, err error) {
+	var conflict *rows.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	for _, row := range conflict.Rows {
+		// A row that cannot be decoded is reported when the table returns it.
+		_ = n.apply(now, row)
+	}
+	n.routingChanged = n.routingChanged || len(conflict.Rows) > 0
+}
+
 // leadCommit returns the write that makes this daemon the leader of a move. The
 // condition on the row's version lets only one of several candidates succeed.
 func (n *Node) leadCommit(start time.Time, m *serviceMove, record *moveRecord, storeClock time.Duration) []Commit {
