Answer operators whose requests wait for the platform when a daemon ends

A stopping daemon waits one second for its last responses to operators and then closes their connections. A request that reads the platform takes up to the timeout of each read, three reads for the status of a ticket, so while the platform is slow operators got EOF. The wait for the responses was shorter than what the handlers wait for.

The requests of the administration listener now have a context of their own. It is canceled after that second, so that the handlers respond with a failure, for which the daemon waits 200 ms more.

The spec asks for a ticket while the platform takes 5 s and the daemon stops. Without the change:

[FAILED] Get "http://127.0.0.1:24229/v1/tickets/1": EOF

With it, it passes with the other specs of operators' requests (go test ./internal/daemon ./internal/admin).

--- a/internal/daemon/admin_stop_test.go
+++ b/internal/daemon/admin_stop_test.go
@@ -56,3 +56,36 @@
 		Expect(failures).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a daemon that stops while an operator's request waits for the platform", func() {
+	// Guards against an operator who gets EOF because the platform responds later than
+	// the daemon waits for its last responses.
+	It("answers the request when the daemon ends", func() {
+		store := standin.New()
+		platform := httptest.NewServer(store)
+		DeferCleanup(platform.Close)
+		s := newSettings("vm-1", platform.URL)
+		s.Timeouts.DrainNotice = 100 * time.Millisecond
+		s.Platform.Timeout = testTimeout
+		stop := start(s)
+		Eventually(ready(s), testTimeout).Should(Equal(http.StatusOK))
+		store.SetFaults(standin.Faults{LatencyMillis: 5000})
+		outcome := make(chan error, 1)
+		go func() {
+			r, err := http.NewRequest(http.MethodGet, "http://"+s.Listen.Admin+"/v1/tickets/1", nil)
+			if err == nil {
+				r.Header.Set("Authorization", "Bearer "+token)
+				var response *http.Response
+				if response, err = (&http.Client{Transport: &http.Transport{}}).Do(r); err == nil {
+					_ = response.Body.Close()
+				}
+			}
+			outcome <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		Expect(stop()).To(Succeed())
+		var err error
+		Eventually(outcome, testTimeout).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -28,6 +28,8 @@
 	caller  server
 	inbound server
 	admin   server
+	// cancelOperators cancels the contexts of all operators' requests.
+	cancelOperators context.CancelFunc
 }
 
 type server struct {
@@ -54,6 +56,9 @@
 	s.caller = server{name: "caller", http: newServer(proxy.CloseWhile(d.stopping.Load, bypassMux(callerMux, d)), limit)}
 	s.inbound = server{name: "inbound", http: newServer(proxy.CloseWhile(d.stopping.Load, d.inbound), limit)}
 	s.admin = server{name: "admin", http: newServer(proxy.CloseWhile(d.stopping.Load, adminHandler), limit)}
+	operators, cancelOperators := context.WithCancel(context.Background())
+	s.admin.http.BaseContext = func(net.Listener) context.Context { return operators }
+	s.cancelOperators = cancelOperators
 	for _, bind := range []struct {
 		server  *server
 		address string
@@ -126,21 +131,38 @@
 	return <-failures
 }
 
-// adminStopTimeout is how long a stopping daemon waits for its last responses to
-// operators.
-const adminStopTimeout = time.Second
+const (
+	// adminStopTimeout is how long a stopping daemon waits for its last responses to
+	// operators.
+	adminStopTimeout = time.Second
+	// finalResponseTime bounds the time for the responses to the requests that do not
+	// end by then.
+	finalResponseTime = 200 * time.Millisecond
+)
 
 // shutdownAdmin stops the administration server after the end of the event loop, which
-// releases the handlers that wait for it, and waits for their responses.
+// releases the handlers that wait for it, and waits for their responses. Handlers that
+// wait for the platform are canceled after adminStopTimeout, so that they respond.
 func (s *servers) shutdownAdmin() {
-	ctx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
-	defer cancel()
+	if s.shutdownAdminWithin(adminStopTimeout) == nil {
+		return
+	}
+	s.cancelOperators()
 	// The server's connections that are left are closed with the daemon.
-	_ = s.admin.tcp.Shutdown(ctx, s.admin.http)
+	_ = s.shutdownAdminWithin(finalResponseTime)
+}
+
+func (s *servers) shutdownAdminWithin(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return s.admin.tcp.Shutdown(ctx, s.admin.http)
 }
 
 // close closes all servers and listeners immediately.
 func (s *servers) close() {
+	if s.cancelOperators != nil {
+		s.cancelOperators()
+	}
 	for _, srv := range s.all() {
 		if srv.http != nil {
 			_ = srv.http.Close()
