--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -32,6 +32,8 @@
 	// cancelRequests cancels it.
 	requests       context.Context
 	cancelRequests context.CancelFunc
+	// cancelOperators cancels the contexts of all operators' requests.
+	cancelOperators context.CancelFunc
 }
 
 type server struct {
@@ -62,6 +64,9 @@
 	for _, srv := range []*server{&s.caller, &s.inbound} {
 		srv.http.BaseContext = func(net.Listener) context.Context { return s.requests }
 	}
+	operators, cancelOperators := context.WithCancel(context.Background())
+	s.admin.http.BaseContext = func(net.Listener) context.Context { return operators }
+	s.cancelOperators = cancelOperators
 	for _, bind := range []struct {
 		server  *server
 		address string
@@ -134,8 +139,14 @@
 	return <-failures
 }
 
-// finalResponseTime bounds the time for the responses to requests that are canceled.
-const finalResponseTime = 200 * time.Millisecond
+const (
+	// adminStopTimeout is how long a stopping daemon waits for its last responses to
+	// operators.
+	adminStopTimeout = time.Second
+	// finalResponseTime bounds the time for the responses to requests that are
+	// canceled.
+	finalResponseTime = 200 * time.Millisecond
+)
 
 // cancelInFlight cancels the requests that shutdown has not waited for, and waits until
 // the proxies have responded to them.
@@ -147,21 +158,29 @@
 	_ = s.shutdown(ctx)
 }
 
-// adminStopTimeout is how long a stopping daemon waits for its last responses to
-// operators.
-const adminStopTimeout = time.Second
-
 // shutdownAdmin stops the administration server after the end of the event loop, which
-// releases the handlers that wait for it, and waits for their responses.
+// releases the handlers that wait for it, and waits for their responses. Handlers that
+// wait for the platform are canceled after adminStopTimeout, so that they respond.
 func (s *servers) shutdownAdmin() {
-	ctx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
-	defer cancel()
+	if s.shutdownAdminWithin(adminStopTimeout) == nil {
+		return
+	}
+	s.cancelOperators()
 	// The server's connections that are left are closed with the daemon.
-	_ = s.admin.tcp.Shutdown(ctx, s.admin.http)
+	_ = s.shutdownAdminWithin(finalResponseTime)
+}
+
+func (s *servers) shutdownAdminWithin(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return s.admin.tcp.Shutdown(ctx, s.admin.http)
 }
 
 // close closes all servers and listeners immediately.
 func (s *servers) close() {
+	if s.cancelOperators != nil {
+		s.cancelOperators()
+	}
 	for _, srv := range s.all() {
 		if srv.http != nil {
 			_ = srv.http.Close()
