Serve connections that a stopping server accepts late

Callers saw: "connection reset by peer" before any header, on new connections, lookups and uploads alike, while a daemon stops on a busy machine. The daemon logs nothing and no target runs the request.

Cause: Shutdown waited at most 200 ms for the server to accept the connections that clients had opened, and closed the listener then, which resets them.

Change: after those 200 ms, or at the first moment without such connections, a socket filter on the listener drops segments that open connections. The wait for the others to be accepted then ends by itself and is bounded only by the context. The filter also covers the time between the last check and the close. A client whose segment was dropped sends it again after a second and is refused then, so that it knows that nothing was sent. Sockets of Multipath TCP, which Go listens with by default, have no filters (EOPNOTSUPP), so the listener uses plain TCP; Go's clients do not use Multipath TCP by default. Where the filter cannot be attached, the wait ends after 200 ms as before.

Without the change, "serves the requests on connections that are accepted late" fails:

[FAILED] Unexpected error: read tcp 127.0.0.1:57444->127.0.0.1:39839: read: connection reset by peer Ran 6 of 6 Specs in 1.956 seconds FAIL! -- 5 Passed | 1 Failed

With the longer wait but without the filter, "lets no client connect while it waits for the server to accept" fails:

[FAILED] Timed out after 5.006s. Expected an error to have occurred.

With it, 0 of 20 runs of the package failed beside other work; go test ./internal/daemon ./internal/sidecar passes.

--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -23,8 +24,8 @@
 const (
 	// pollInterval is the interval at which Shutdown checks the connections.
 	pollInterval = 5 * time.Millisecond
-	// maxBacklogWait bounds the wait for the server to accept the connections that
-	// clients have opened. New ones may keep coming.
+	// maxBacklogWait is how long Shutdown waits for a moment without connections that
+	// the server has not accepted before it keeps clients from opening new ones.
 	maxBacklogWait = 200 * time.Millisecond
 	// firstRequestWait is how long Shutdown waits for the first request on a new
 	// connection.
@@ -45,7 +46,10 @@
 
 // Listen listens on the TCP address.
 func Listen(address string) (*Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	// Sockets of Multipath TCP have no socket filters.
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +104,10 @@
 	l.stopping.Store(true)
 	acceptUntil := time.Now().Add(maxBacklogWait)
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || time.Now().After(acceptUntil) })
+	refused := l.refuseConnections()
+	// Without a processor, the server may accept connections seconds after they were
+	// opened. Closing the listener would reset them.
+	waitUntil(ctx, func() bool { return !l.hasBacklog() || !refused && time.Now().After(acceptUntil) })
 	closed := l.Close()
 	closeNewFrom := time.Now().Add(firstRequestWait)
 	waitUntil(ctx, func() bool { return l.closeUnused(time.Now().After(closeNewFrom)) == 0 })
@@ -119,6 +127,38 @@
 	}
 }
 
+// flagsOffset is the offset of the flags in a TCP header, synFlag the flag of the segment
+// that opens a connection.
+const (
+	flagsOffset = 13
+	synFlag     = 2
+)
+
+// dropOpening is a socket filter in classic BPF that drops the segments that open
+// connections and keeps all others.
+var dropOpening = [...]unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: synFlag, Jf: 1},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+}
+
+// refuseConnections keeps clients from opening connections, and reports whether that
+// succeeded. A client that tries sends its segment again a second later, and is refused
+// once the listener is closed.
+func (l *Listener) refuseConnections() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		program := unix.SockFprog{Len: uint16(len(dropOpening)), Filter: &dropOpening[0]}
+		failure = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	return err == nil && failure == nil
+}
+
 // hasBacklog reports whether connections wait to be accepted. Closing the listener
 // resets them.
 func (l *Listener) hasBacklog() bool {
--- a/internal/shutdown/listener_test.go
+++ b/internal/shutdown/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,9 +51,14 @@
 type heldListener struct {
 	net.Listener
 	hold *hold
+	// accepts keeps the next calls of Accept from running.
+	accepts *hold
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
+	if l.accepts.held.Load() {
+		<-l.accepts.released
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -65,8 +71,11 @@
 		listener *shutdown.Listener
 		server   *http.Server
 		readers  *hold
+		accepts  *hold
 		client   net.Conn
-		stopping *atomic.Bool
+		// releaseAccepts lets held calls of Accept go on.
+		releaseAccepts func()
+		stopping       *atomic.Bool
 	)
 
 	BeforeEach(func() {
@@ -75,6 +84,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		stopping = &atomic.Bool{}
 		readers = &hold{released: make(chan struct{})}
+		accepts = &hold{released: make(chan struct{})}
 		server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if stopping.Load() {
 				w.Header().Set("Connection", "close")
@@ -82,8 +92,11 @@
 			_, _ = io.WriteString(w, "served")
 		})}
 		shutdown.TrackState(server)
-		go func() { _ = server.Serve(&heldListener{Listener: listener, hold: readers}) }()
+		go func() { _ = server.Serve(&heldListener{Listener: listener, hold: readers, accepts: accepts}) }()
 		DeferCleanup(server.Close)
+		// The server's Close waits for Accept.
+		releaseAccepts = sync.OnceFunc(func() { close(accepts.released) })
+		DeferCleanup(releaseAccepts)
 		client, err = net.DialTimeout("tcp", listener.Addr().String(), testTimeout)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = client.Close() })
@@ -135,6 +148,52 @@
 		Expect(err).To(MatchError(io.EOF))
 	})
 
+	dial := func() net.Conn {
+		c, err := net.DialTimeout("tcp", listener.Addr().String(), testTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		Expect(c.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
+		return c
+	}
+
+	// Guards against requests that are reset: on a machine without a free processor the
+	// server accepts their connections later than any fixed wait.
+	It("serves the requests on connections that are accepted late", func() {
+		accepts.held.Store(true)
+		// The pending call of Accept returns the first connection; the rest wait.
+		clients := []net.Conn{dial(), dial(), dial(), dial()}
+		for _, c := range clients {
+			_, err := io.WriteString(c, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		stopped := stop()
+		Consistently(stopped, time.Second).ShouldNot(Receive())
+		releaseAccepts()
+		for _, c := range clients {
+			response, err := io.ReadAll(c)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response)).To(HaveSuffix("served"))
+		}
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+
+	// Guards against a shutdown that never ends because clients keep connecting.
+	It("lets no client connect while it waits for the server to accept", func() {
+		accepts.held.Store(true)
+		_, _ = dial(), dial()
+		stopped := stop()
+		Eventually(func() error {
+			c, err := net.DialTimeout("tcp", listener.Addr().String(), 50*time.Millisecond)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}, testTimeout/2).Should(HaveOccurred())
+		Expect(stopped).NotTo(Receive())
+		releaseAccepts()
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+
 	// Guards against a shutdown that waits for a connection whose request never
 	// comes: its client sent a part of the header and left.
 	It("closes a connection whose client leaves within a request", func() {
