Wait for connections that are being accepted when a server stops

Callers saw, if anything: EOF on a new connection while a daemon stops.

Cause: Shutdown looks for connections in the table that Accept fills after the system call. A goroutine that loses its processor between both has a connection that is neither in the backlog nor in the table. Shutdown then ended before it was served, and net/http drops the request on it.

Change: after it has closed the listener, Shutdown waits until no call of Accept is left. They all return then, since the listener is closed.

Without the change the spec fails:

the shutdown of an HTTP server [It] waits for connections that are being accepted [FAILED] Expected <string>: "" to have suffix <string>: served Ran 7 of 7 Specs in 3.573 seconds FAIL! -- 6 Passed | 1 Failed

--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -38,6 +38,11 @@
 	stopping atomic.Bool
 	// close closes the listener at its first call and returns that result.
 	close func() error
+	// accept returns the next connection.
+	accept func() (*net.TCPConn, error)
+	// accepting is the number of calls of Accept, which may have got a connection that
+	// open does not hold yet.
+	accepting atomic.Int32
 
 	mu sync.Mutex
 	// open holds the connections that are not closed.
@@ -53,7 +58,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: listener.(*net.TCPListener), close: sync.OnceValue(listener.Close), open: map[*conn]struct{}{}}, nil
+	tcp := listener.(*net.TCPListener)
+	return &Listener{TCPListener: tcp, close: sync.OnceValue(tcp.Close), accept: tcp.AcceptTCP, open: map[*conn]struct{}{}}, nil
 }
 
 // Close implements net.Listener. http.Server.Shutdown closes the listener again when
@@ -62,7 +68,9 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.AcceptTCP()
+	l.accepting.Add(1)
+	defer l.accepting.Add(-1)
+	accepted, err := l.accept()
 	switch {
 	case err != nil && l.stopping.Load():
 		return nil, http.ErrServerClosed
@@ -109,6 +117,7 @@
 	// opened. Closing the listener would reset them.
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || !refused && time.Now().After(acceptUntil) })
 	closed := l.Close()
+	waitUntil(ctx, func() bool { return l.accepting.Load() == 0 })
 	closeNewFrom := time.Now().Add(firstRequestWait)
 	waitUntil(ctx, func() bool { return l.closeUnused(time.Now().After(closeNewFrom)) == 0 })
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/shutdown/listener_test.go
+++ b/internal/shutdown/listener_test.go
@@ -177,6 +177,31 @@
 		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
 	})
 
+	// Guards against a request without a response: the shutdown ended between the
+	// system call that accepts a connection and its registration.
+	It("waits for connections that are being accepted", func() {
+		Expect(listener.Close()).To(Succeed())
+		var err error
+		listener, err = shutdown.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		accepted, released := make(chan struct{}, 1), make(chan struct{})
+		release := sync.OnceFunc(func() { close(released) })
+		DeferCleanup(release)
+		listener.HoldAccepted(accepted, released)
+		go func() { _ = server.Serve(listener) }()
+		c := dial()
+		_, err = io.WriteString(c, request)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(accepted, testTimeout).Should(Receive())
+		stopped := stop()
+		Consistently(stopped, time.Second).ShouldNot(Receive())
+		release()
+		response, err := io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(response)).To(HaveSuffix("served"))
+		Eventually(stopped, testTimeout).Should(Receive(Succeed()))
+	})
+
 	// Guards against a shutdown that never ends because clients keep connecting.
 	It("lets no client connect while it waits for the server to accept", func() {
 		accepts.held.Store(true)
