Send the requests of the specs of truncated responses 32 at a time

The package internal/proxy took 47 s on a busy machine, 24 s of it in truncated_test.go. Each cut response takes 42 ms, also one at a time: the daemon beside the target checks with three connections, 20 ms apart, whether the target has crashed. The processor is idle meanwhile.

The specs now send 32 requests at a time in place of 8, to a target with 40 slots in place of 10. Cases and lengths are the same. So that more requests at a time cannot hide a case, the specs also expect that none is refused with 503.

With a planted fault (trial on a scratch copy: a streamed response that ends early is not aborted), five of its specs and the one for HTTP/1.0 callers fail: "status 200 with a complete body of 1048577 bytes after 1048658 of 1114200 bytes".

--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -44,7 +44,7 @@
 	for i, address := range targets {
 		inbound := proxy.NewInbound(proxy.InboundConfig{Observer: &recordingObserver{}, Protocol: verifyingProtocol(), BufferBytes: verifyingBufferBytes})
 		server := httptest.NewServer(inbound)
-		target := member.Target{Service: "order", Version: "v1", Instance: "i", Address: address, Slots: 10, Connections: 50}
+		target := member.Target{Service: "order", Version: "v1", Instance: "i", Address: address, Slots: 40, Connections: 50}
 		inbound.SetTarget(target)
 		config.Endpoints = append(config.Endpoints, member.Endpoint{
 			VM: fmt.Sprintf("vm%d", i), Incarnation: 1, State: member.Ready, Domain: "a", InboundAddress: server.Listener.Addr().String(), Target: target,
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -151,6 +151,8 @@
 							defer GinkgoRecover()
 							for length := range lengths {
 								status, body, _, err := receiveWhole(url, length, requestBytes)
+								// A request that is refused shows nothing of the response.
+								Expect(status).NotTo(Equal(http.StatusServiceUnavailable))
 								if err != nil || status >= 300 {
 									continue
 								}
@@ -169,7 +171,7 @@
 
 // concurrentTruncations is the number of requests at the same time, less than the
 // slots of the target.
-const concurrentTruncations = 8
+const concurrentTruncations = 32
 
 // Guards against an incomplete response that looks complete to an HTTP/1.0 caller,
 // for which the end of the connection ends a response without a length.
