Name state lost in a restore of the store as such

The code called it "undone", which does not say of what or by what. Renames the unexported identifiers and the files of internal/sidecar and internal/mesh that hold it, and rewords their comments and two names of specs. The path /v2/undone and the log events undone-state and undone-failed stay as they are.

No behavior changes. Checked: gofmt, go vet and staticcheck of both packages; go test ./internal/mesh -ginkgo.focus "rows lost in a restore" and go test ./internal/sidecar -ginkgo.focus "a start after a restore" pass.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -58,9 +58,9 @@
 	// eraSince.
 	era      uint64
 	eraSince time.Time
-	// undoneTargets holds the target rows that a restore of the store has undone, by
-	// VM.
-	undoneTargets map[string]undoneTarget
+	// lostTargetRows holds, by VM, the target rows that are older than the known records
+	// because of a restore of the store.
+	lostTargetRows map[string]lostTargetRow
 }
 
 // knownTarget is a target's record and when this daemon received it.
@@ -81,7 +81,7 @@
 		self: self, orders: map[string]knownOrder{}, targets: map[string]knownTarget{}, baselines: map[string]*serviceBaseline{},
 		moves: map[string]*serviceMove{}, crashes: map[uint64]uint32{}, unwrittenCrashes: map[uint64]uint32{}, uncertainCrashes: map[uint64]crashWrite{},
 		brakes: map[uint64]string{}, writesInProgress: map[string]bool{}, retryAt: map[string]time.Time{},
-		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{}, undoneTargets: map[string]undoneTarget{},
+		baselineProposedAt: map[string]time.Time{}, baselineMissingSince: map[string]time.Time{}, lostTargetRows: map[string]lostTargetRow{},
 	}
 }
 
@@ -103,13 +103,13 @@
 }
 
 // Reset replaces all state that comes from the mesh table by the rows, except
-// newer records and those that a restore of the store has undone. Targets that are
+// newer records and those lost in a restore of the store. Targets that are
 // not listed stay, since daemons do not remove their rows. It skips rows
 // that cannot be decoded and returns their errors.
 func (n *Node) Reset(now time.Time, all []rows.Row) []error {
 	old := n.targets
 	n.targets = map[string]knownTarget{}
-	clear(n.undoneTargets)
+	clear(n.lostTargetRows)
 	listed := map[string]uint64{}
 	var failures []error
 	for _, row := range all {
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -60,8 +60,8 @@
 func (n *Node) Era() uint64 { return n.era }
 
 // SetEra records that the rows of the mesh table are known up to a version of the
-// era. In a later era than before, the rows that the restore has undone are
-// written again.
+// era. In a later era than before, the rows lost in the restore are written
+// again.
 func (n *Node) SetEra(now time.Time, era uint64) {
 	if era > n.era {
 		n.era, n.eraSince = era, now
@@ -71,9 +71,9 @@
 }
 
 const (
-	// restoreDoublingDelay is the time in which twice as many daemons get their turn
-	// to write rows that a restore of the store has undone. Within the 1.5 s that a
-	// row may take to reach all daemons of a large mesh, 10 daemons write it.
+	// restoreDoublingDelay is the time in which the number of daemons doubles that have
+	// had their turn to write rows lost in a restore of the store. Within the 1.5 s
+	// that a row may take to reach all daemons of a large mesh, 10 daemons write it.
 	restoreDoublingDelay = 3 * candidacyDelay
 	// maxRestoreDelay bounds the delay in a mesh of any size. Daemons of rank 1,023
 	// and later share the last turn.
@@ -87,8 +87,8 @@
 	return min(time.Duration(math.Log2(float64(1+rank))*float64(restoreDoublingDelay)), time.Duration(rank)*candidacyDelay, maxRestoreDelay)
 }
 
-// restoreCommits returns the writes of baselines and finished moves that a
-// restore of the store has undone. The daemons write in turn, so that usually
+// restoreCommits returns the writes of baselines and finished moves that were
+// lost in a restore of the store. The daemons write in turn, so that usually
 // only the first one does. The leader of an open move writes its record.
 func (n *Node) restoreCommits(now time.Time) []Commit {
 	var commits []Commit
@@ -123,41 +123,42 @@
 
 const (
 	// leftTargetDelay is the time in which only the daemon of a target writes the
-	// target's row, after another daemon has found that a restore has undone it.
+	// target's row, after another daemon has found that it was lost in a restore.
 	leftTargetDelay = 2 * time.Second
 	// maxTargetsPerWrite bounds the rows of targets in one write.
 	maxTargetsPerWrite = 64
 )
 
-// undoneTarget is a row of the store whose record is older than the known one.
-type undoneTarget struct {
+// lostTargetRow is a row of the store whose record is older than the known one.
+type lostTargetRow struct {
 	version uint64
 	// since is when this daemon first received the row.
 	since time.Time
 }
 
-// noteTargetRow records whether a restore of the store has undone the known record
-// of the target. Otherwise the daemon of the target writes a newer record itself.
+// noteTargetRow records whether the known record of the target was lost in a restore
+// of the store. Otherwise the daemon of the target writes a newer record itself.
 func (n *Node) noteTargetRow(now time.Time, vm string, version uint64, stored *TargetRecord) {
 	known := n.targets[vm].record
 	if rows.Era(version) != n.era || known.Era >= n.era || !known.newer(stored) {
-		delete(n.undoneTargets, vm)
+		delete(n.lostTargetRows, vm)
 		return
 	}
 	since := now
-	if noted, ok := n.undoneTargets[vm]; ok {
+	if noted, ok := n.lostTargetRows[vm]; ok {
 		since = noted.since
 	}
-	n.undoneTargets[vm] = undoneTarget{version: version, since: since}
+	n.lostTargetRows[vm] = lostTargetRow{version: version, since: since}
 }
 
-// leftTargets returns the rows of targets that have left and whose rows in the
-// store have not said so since the time, at most maxTargetsPerWrite.
+// leftTargets returns the rows of targets that have left and whose rows in the store
+// have shown an earlier state since the given time or before, at most
+// maxTargetsPerWrite.
 func (n *Node) leftTargets(since time.Time) []rows.Row {
 	var left []rows.Row
-	for _, vm := range slices.Sorted(maps.Keys(n.undoneTargets)) {
+	for _, vm := range slices.Sorted(maps.Keys(n.lostTargetRows)) {
 		known, ok := n.targets[vm]
-		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && !n.undoneTargets[vm].since.After(since) && len(left) < maxTargetsPerWrite {
+		if ok && vm != n.self.VM && stateByName[known.record.State] != member.Ready && !n.lostTargetRows[vm].since.After(since) && len(left) < maxTargetsPerWrite {
 			left = append(left, known.record.Row())
 		}
 	}
@@ -168,7 +169,7 @@
 // daemons may have ended, and daemons that start later would take the targets
 // for ready.
 func (n *Node) leftTargetCommits(now time.Time) []Commit {
-	if n.storeUnavailable || len(n.undoneTargets) == 0 {
+	if n.storeUnavailable || len(n.lostTargetRows) == 0 {
 		return nil
 	}
 	left := n.leftTargets(now.Add(-leftTargetDelay - restoreDelay(n.leaderRank(n.era))))
@@ -177,7 +178,7 @@
 	}
 	tx := rows.Transaction{Writes: left}
 	for _, row := range left {
-		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.undoneTargets[strings.TrimPrefix(row.Name, targetPrefix)].version})
+		tx.Conditions = append(tx.Conditions, rows.Condition{Key: row.Key, Version: n.lostTargetRows[strings.TrimPrefix(row.Name, targetPrefix)].version})
 	}
 	return n.startWrite(now, "restore targets", tx, nil, func(now time.Time, version uint64, err error) {
 		if err != nil {
--- a/internal/mesh/restore_order_test.go
+++ b/internal/mesh/restore_order_test.go
@@ -87,7 +87,7 @@
 	})
 })
 
-var _ = Describe("rows that a restore of the store has undone", func() {
+var _ = Describe("rows lost in a restore of the store", func() {
 	// Guards against a baseline that goes back to an older one, because a daemon that
 	// has not read the newest row writes the one that it knows again first.
 	It("are not replaced by older content that a daemon behind writes again", func() {
--- a/internal/mesh/restore_rank_test.go
+++ b/internal/mesh/restore_rank_test.go
@@ -13,8 +13,8 @@
 	"github.com/magnoliamount/magnoliamount/internal/rows"
 )
 
-// restoredMesh is a mesh after a restore of the store that has undone the baseline
-// of a service. Rows reach the daemons a time after they are written.
+// restoredMesh is a mesh after a restore of the store in which the baseline of a
+// service was lost. Rows reach the daemons a time after they are written.
 type restoredMesh struct {
 	now time.Time
 	// nodes holds the daemons that know the baseline. The others write nothing.
@@ -91,7 +91,7 @@
 	}
 }
 
-var _ = Describe("rows that a restore of the store has undone", func() {
+var _ = Describe("rows lost in a restore of the store", func() {
 	// maxWait bounds the time after which the row is in the store again, and maxCalls
 	// the writes per second; a part of the store handles 300 of them.
 	const maxWait, maxCalls = 4 * time.Second, 30
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -205,7 +205,7 @@
 }
 
 // stepCommit returns the write of the leader's pending record, if there is one,
-// or of the current record if a restore of the store has undone it.
+// or of the current record if it was lost in a restore of the store.
 func (n *Node) stepCommit(now time.Time, m *serviceMove) []Commit {
 	l := m.leader
 	if l.pendingRecord == nil && m.lostIn(n.era) {
@@ -222,7 +222,7 @@
 }
 
 // recordCommit returns the write of a move's record. It also writes the status if
-// the move has ended or a restore of the store has undone its earlier write.
+// the move has ended or its earlier write was lost in a restore of the store.
 func (n *Node) recordCommit(now time.Time, m *serviceMove, record *moveRecord, purpose string) []Commit {
 	row := encodeRow(meshKey(movePrefix+m.service), record)
 	tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: m.version}}, Writes: []rows.Row{row}}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -367,7 +367,7 @@
 
 // meshFollower returns the follower of the mesh table.
 func (d *Daemon) meshFollower() *follower {
-	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh, prepare: d.learnUndone,
+	return &follower{d: d, table: mesh.Table, copy: &d.tables.mesh, prepare: d.recoverLostState,
 		reset: func(now time.Time, snapshot rows.Snapshot) {
 			d.enterEra(now, snapshot.Version)
 			d.logRefusedRows(d.node.Reset(now, snapshot.Rows))
--- a/internal/sidecar/undone.go
+++ b/internal/sidecar/lost_state.go
@@ -17,23 +17,23 @@
 )
 
 const (
-	// undonePath is the path on the peer listener at which a starting daemon gets
-	// the state that a restore of the store may have undone.
-	undonePath = "/v2/undone"
-	// undoneRounds and undoneRoundTimeout bound the time for which a start waits
+	// lostStatePath is the path on the peer listener at which a starting daemon gets
+	// the state that a restore of the store may have lost.
+	lostStatePath = "/v2/undone"
+	// lostStateRounds and lostStateRoundTimeout bound the time for which a start waits
 	// for other daemons, some of which may be down. A round asks gossipFanout
 	// daemons; another one follows only if none of them has loaded the tables.
-	undoneRounds       = 2
-	undoneRoundTimeout = 400 * time.Millisecond
-	// undoneFurtherDelay is how long a round waits for further daemons after one that
+	lostStateRounds       = 2
+	lostStateRoundTimeout = 400 * time.Millisecond
+	// furtherResponsesDelay is how long a round waits for further daemons after one that
 	// has loaded the tables has responded. Some of the listed VMs may be gone.
-	undoneFurtherDelay = 50 * time.Millisecond
+	furtherResponsesDelay = 50 * time.Millisecond
 	// configurationListDelay bounds how long the rounds wait for the list of the
 	// operators' table, which is requested at the same time.
 	configurationListDelay = 200 * time.Millisecond
 	// firstOperatorRowsDelay bounds how long the first rows of operators wait for
 	// the first list of the mesh table, which follows the rounds.
-	firstOperatorRowsDelay = configurationListDelay + undoneRounds*undoneRoundTimeout + 200*time.Millisecond
+	firstOperatorRowsDelay = configurationListDelay + lostStateRounds*lostStateRoundTimeout + 200*time.Millisecond
 )
 
 // firstLists passes the results of a daemon's first lists between the followers
@@ -53,42 +53,42 @@
 
 func (l *firstLists) setMeshApplied() { l.once.Do(func() { close(l.meshApplied) }) }
 
-// undoneRequest asks for the state that a restored store may lack.
-type undoneRequest struct {
+// lostStateRequest asks for the state that a restored store may lack.
+type lostStateRequest struct {
 	// Configuration is the version of the configuration that the sender has.
 	Configuration uint64 `json:"configuration"`
 }
 
-// undoneResponse is the state of a daemon that a restore of the store may have
-// undone.
-type undoneResponse struct {
+// lostStateResponse is the state of a daemon that a restore of the store may have
+// lost.
+type lostStateResponse struct {
 	VM string `json:"vm"`
 	// Loaded is false while the daemon has not loaded both tables itself.
 	Loaded bool `json:"loaded"`
 	// Configuration is the row of the configuration in force if it is newer than
 	// the sender's.
-	Configuration []wireRow     `json:"configuration,omitempty"`
-	Orders        []undoneOrder `json:"orders,omitempty"`
-	Mesh          []wireRow     `json:"mesh,omitempty"`
+	Configuration []wireRow   `json:"configuration,omitempty"`
+	Orders        []wireOrder `json:"orders,omitempty"`
+	Mesh          []wireRow   `json:"mesh,omitempty"`
 }
 
-// undoneOrder is a mesh.Order in an undoneResponse.
-type undoneOrder struct {
+// wireOrder is a mesh.Order in a lostStateResponse.
+type wireOrder struct {
 	Service  string `json:"service"`
 	Version  string `json:"version"`
 	WithinNS int64  `json:"within_ns"`
 	Revision uint64 `json:"revision"`
 }
 
-// serveUndone serves undonePath.
-func (d *Daemon) serveUndone(w http.ResponseWriter, r *http.Request) {
-	var request undoneRequest
+// serveLostState serves lostStatePath.
+func (d *Daemon) serveLostState(w http.ResponseWriter, r *http.Request) {
+	var request lostStateRequest
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxGossipBytes)).Decode(&request); err != nil {
 		http.Error(w, "the request cannot be decoded", http.StatusBadRequest)
 		return
 	}
-	var response undoneResponse
-	d.loop.call(func(now time.Time) { response = d.undoneState(now, request.Configuration) })
+	var response lostStateResponse
+	d.loop.call(func(now time.Time) { response = d.lostState(now, request.Configuration) })
 	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		writeEncoded(w, encodeCompressed(&response))
 		return
@@ -96,32 +96,32 @@
 	writeJSON(w, &response)
 }
 
-// undoneState returns the state that a restored store may lack, with the
+// lostState returns the state that a restored store may lack, with the
 // configuration if it is newer than the version. It runs in the event loop.
-func (d *Daemon) undoneState(now time.Time, configuration uint64) undoneResponse {
-	response := undoneResponse{VM: d.config.VM, Loaded: d.meshLoaded && d.operatorsLoaded, Mesh: toWireRows(d.node.KnownRows(now))}
+func (d *Daemon) lostState(now time.Time, configuration uint64) lostStateResponse {
+	response := lostStateResponse{VM: d.config.VM, Loaded: d.meshLoaded && d.operatorsLoaded, Mesh: toWireRows(d.node.KnownRows(now))}
 	if c := d.node.Configuration(); c != nil && c.Version > configuration {
 		response.Configuration = toWireRows([]rows.Row{d.configurationRow})
 	}
 	for _, o := range d.node.KnownOrders() {
-		response.Orders = append(response.Orders, undoneOrder{o.Service, o.Version, int64(o.Within), o.Revision})
+		response.Orders = append(response.Orders, wireOrder{o.Service, o.Version, int64(o.Within), o.Revision})
 	}
 	return response
 }
 
-// mayLackState reports whether a restore of the store may have undone state that
+// mayHaveLostState reports whether the store may have lost state in a restore that
 // other daemons know. At a first start of the whole mesh there is none.
-func (d *Daemon) mayLackState(snapshot rows.Snapshot) bool {
+func (d *Daemon) mayHaveLostState(snapshot rows.Snapshot) bool {
 	return rows.Era(snapshot.Version) > 0 && !d.config.FirstStart
 }
 
-// learnUndone asks other daemons for the state that the store may lack, and
+// recoverLostState asks other daemons for the state that the store may lack, and
 // applies it before the daemon's first list of the mesh table. Without it, a
 // daemon that starts after a restore of the store takes the configuration, the
 // orders and the moves of the backup for the newest ones.
-func (d *Daemon) learnUndone(ctx context.Context, snapshot rows.Snapshot) {
+func (d *Daemon) recoverLostState(ctx context.Context, snapshot rows.Snapshot) {
 	era := rows.Era(snapshot.Version)
-	if !d.mayLackState(snapshot) {
+	if !d.mayHaveLostState(snapshot) {
 		return
 	}
 	var configuration uint64
@@ -131,12 +131,12 @@
 	}
 	peers := d.listedPeers(snapshot)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var all []*undoneResponse
+	var all []*lostStateResponse
 	loaded := 0
-	for range undoneRounds {
+	for range lostStateRounds {
 		asked := peers[:min(gossipFanout, len(peers))]
 		peers = peers[len(asked):]
-		for _, response := range d.requestUndone(ctx, asked, undoneRequest{Configuration: configuration}) {
+		for _, response := range d.requestLostState(ctx, asked, lostStateRequest{Configuration: configuration}) {
 			all = append(all, response)
 			if response.Loaded {
 				loaded++
@@ -146,7 +146,7 @@
 			break
 		}
 	}
-	d.loop.call(func(now time.Time) { d.applyUndone(now, all) })
+	d.loop.call(func(now time.Time) { d.applyLostState(now, all) })
 	d.logger.Info().Str("event", "undone-state").Uint64("era", era).Int("responses", len(all)).Int("loaded", loaded).Msg("asked other daemons for state that the store may lack")
 }
 
@@ -174,23 +174,23 @@
 	return peers
 }
 
-// requestUndone asks the daemons at the addresses at the same time and returns
-// the responses that arrive within undoneRoundTimeout, or within undoneFurtherDelay
+// requestLostState asks the daemons at the addresses at the same time and returns
+// the responses that arrive within lostStateRoundTimeout, or within furtherResponsesDelay
 // after the first one of a daemon that has loaded the tables.
-func (d *Daemon) requestUndone(ctx context.Context, addresses []string, request undoneRequest) []*undoneResponse {
-	ctx, cancel := context.WithTimeout(ctx, undoneRoundTimeout)
+func (d *Daemon) requestLostState(ctx context.Context, addresses []string, request lostStateRequest) []*lostStateResponse {
+	ctx, cancel := context.WithTimeout(ctx, lostStateRoundTimeout)
 	defer cancel()
-	responses := make(chan *undoneResponse, len(addresses))
+	responses := make(chan *lostStateResponse, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			response, err := d.sendUndone(ctx, address, request)
+			response, err := d.sendLostStateRequest(ctx, address, request)
 			if err != nil {
-				d.logger.Debug().Err(err).Str("event", "undone-failed").Str("peer", address).Msg("request for undone state failed")
+				d.logger.Debug().Err(err).Str("event", "undone-failed").Str("peer", address).Msg("request for lost state failed")
 			}
 			responses <- response
 		}()
 	}
-	var received []*undoneResponse
+	var received []*lostStateResponse
 	var enough <-chan time.Time
 	for range addresses {
 		select {
@@ -200,7 +200,7 @@
 			}
 			received = append(received, response)
 			if response.Loaded && enough == nil {
-				enough = time.After(undoneFurtherDelay)
+				enough = time.After(furtherResponsesDelay)
 			}
 		case <-enough:
 			return received
@@ -211,13 +211,13 @@
 	return received
 }
 
-// sendUndone asks the daemon at the address.
-func (d *Daemon) sendUndone(ctx context.Context, address string, message undoneRequest) (*undoneResponse, error) {
+// sendLostStateRequest asks the daemon at the address.
+func (d *Daemon) sendLostStateRequest(ctx context.Context, address string, message lostStateRequest) (*lostStateResponse, error) {
 	encoded, err := json.Marshal(message)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "cannot encode a request for undone state")
+		return nil, fault.Wrap(err, fault.Internal, "cannot encode a request for lost state")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+undonePath, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+lostStatePath, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "invalid daemon address %q", address)
 	}
@@ -229,15 +229,15 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.Unavailable, "the daemon at %s responded with status %d", address, response.StatusCode)
 	}
-	received := &undoneResponse{}
+	received := &lostStateResponse{}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxGossipBytes)).Decode(received); err != nil {
 		return nil, fault.Wrap(err, fault.Protocol, "cannot decode the response of the daemon at %s", address)
 	}
 	return received, nil
 }
 
-// applyUndone applies the state of other daemons. It runs in the event loop.
-func (d *Daemon) applyUndone(now time.Time, all []*undoneResponse) {
+// applyLostState applies the state of other daemons. It runs in the event loop.
+func (d *Daemon) applyLostState(now time.Time, all []*lostStateResponse) {
 	var orders []mesh.Order
 	var known []rows.Row
 	for _, response := range all {
@@ -269,7 +269,7 @@
 // firstOperatorRowsDelay, if the store was restored from a backup. An order of the
 // backup that a later one has replaced is refused only after that.
 func (d *Daemon) awaitFirstMeshList(ctx context.Context, snapshot rows.Snapshot) {
-	if !d.mayLackState(snapshot) {
+	if !d.mayHaveLostState(snapshot) {
 		return
 	}
 	select {
--- a/internal/sidecar/undone_test.go
+++ b/internal/sidecar/lost_state_test.go
@@ -37,14 +37,14 @@
 		defer cancel()
 		go d.run(ctx)
 		begin := time.Now()
-		d.learnUndone(ctx, snapshot)
+		d.recoverLostState(ctx, snapshot)
 		Expect(time.Since(begin)).To(BeNumerically("<", firstOperatorRowsDelay))
 	})
 
 	// Guards against a start that waits for VMs that are gone, although another daemon
 	// has responded: daemons were ready 0.4 s later.
 	It("does not wait for silent daemons once another one has responded", func() {
-		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, &undoneResponse{VM: "b", Loaded: true}) }))
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, &lostStateResponse{VM: "b", Loaded: true}) }))
 		DeferCleanup(peer.Close)
 		silent, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -62,8 +62,8 @@
 		go d.run(ctx)
 		d.firstLists.configuration <- 1
 		begin := time.Now()
-		d.learnUndone(ctx, snapshot)
-		Expect(time.Since(begin)).To(BeNumerically("<", undoneRoundTimeout))
+		d.recoverLostState(ctx, snapshot)
+		Expect(time.Since(begin)).To(BeNumerically("<", lostStateRoundTimeout))
 	})
 
 	// Guards against requests of every daemon to three others at the start of the mesh
@@ -77,10 +77,10 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go d.run(ctx)
-		d.learnUndone(ctx, snapshot)
+		d.recoverLostState(ctx, snapshot)
 		Expect(requests.Load()).To(Equal(int64(1)), "a daemon that starts later asks")
 		d.config.FirstStart = true
-		d.learnUndone(ctx, snapshot)
+		d.recoverLostState(ctx, snapshot)
 		Expect(requests.Load()).To(Equal(int64(1)))
 	})
 
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -101,7 +101,7 @@
 	peer := http.NewServeMux()
 	peer.HandleFunc("POST "+evidencePath, d.serveReport)
 	peer.HandleFunc("POST "+gossipPath, d.serveGossip)
-	peer.HandleFunc("POST "+undonePath, d.serveUndone)
+	peer.HandleFunc("POST "+lostStatePath, d.serveLostState)
 	inbound := d.senders.recordSenders(d.inbound, func() bool { return !d.ready.Load() })
 	s.link = d.link
 	s.requests, s.cancelRequests = context.WithCancel(context.Background())
