Reword comments and names of specs in the code for stops and restores

Corrects comments that did not match the code: gate.acquire named a parameter that it no longer has, beforeRefusal said that the server reads the rest of a body of any length (net/http reads 256 KiB), and servers.requests left out the requests of other daemons. Names units and reasons, and rewords unclear names of specs.

No behavior changes.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -211,7 +211,7 @@
 	)
 
 	// Guards against a reload that ends a daemon, which has no stop in progress.
-	It("serves on after SIGHUP", func() {
+	It("continues to serve after SIGHUP", func() {
 		p := startProcess(discardedLog())
 		p.serveOrders()
 		Expect(p.command.Process.Signal(syscall.SIGHUP)).To(Succeed())
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -28,8 +28,8 @@
 	caller  server
 	inbound server
 	admin   server
-	// requests is the parent of the contexts of all requests of callers, and
-	// cancelRequests cancels it.
+	// requests is the parent of the contexts of all requests of callers and of other
+	// daemons, and cancelRequests cancels it.
 	requests       context.Context
 	cancelRequests context.CancelFunc
 	// cancelOperators cancels the contexts of all operators' requests.
--- a/internal/logging/standard.go
+++ b/internal/logging/standard.go
@@ -7,8 +7,8 @@
 	"github.com/phuslu/log"
 )
 
-// maxStandardLineBytes bounds a line of the standard logger. net/http quotes the
-// whole buffer of a connection. The start of a handler's stack fits.
+// maxStandardLineBytes bounds a line of the standard logger. net/http may quote the
+// whole buffer of a connection. The start of the stack of a handler that panicked fits.
 const maxStandardLineBytes = 4 << 10
 
 // CaptureStandardLog passes the lines of Go's standard logger to the root's writer.
--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -37,8 +37,9 @@
 	minLiveFraction = 0.6
 	// commitRetryDelay is the minimum time between a failed write and its retry.
 	commitRetryDelay = 200 * time.Millisecond
-	// earlierEraDelay is the time until a write is repeated that was made in an
-	// earlier era than the store's. A daemon learns the era within two seconds.
+	// earlierEraDelay is the minimum time between a write whose records have an
+	// earlier era than the store's and its retry. A daemon learns the era within two
+	// seconds.
 	earlierEraDelay = 2 * time.Second
 	// maxPendingSamples bounds the samples that are queued for the leader. Beyond
 	// it, all of them are dropped.
--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -95,9 +95,9 @@
 	return r.To == o.Version && (within-o.Within).Abs() <= time.Millisecond
 }
 
-// isNewerThan reports whether the move has replaced that of the order, which then
-// comes from the backup: the record in the backup refers to the order, and the
-// move's own record to a later one.
+// isNewerThan reports whether the move has replaced the move of the order, so that
+// the order comes from the backup: the record in the backup refers to it, and the
+// newest known record to a later one.
 func (m *serviceMove) isNewerThan(o Order) bool {
 	if m == nil || m.record == nil || m.storedRecord == nil || m.storedRecord.Order >= m.record.Order {
 		return false
--- a/internal/mesh/restore_left_test.go
+++ b/internal/mesh/restore_left_test.go
@@ -65,7 +65,7 @@
 
 	// Guards against writes of rows whose daemon runs, and against the state of a
 	// target that is ready again.
-	It("is left to its own daemon if that runs", func() {
+	It("has its row written only by its own daemon while that runs", func() {
 		before := f.backup()
 		leave("vm4", "draining")
 		delete(f.partitioned, "vm4")
@@ -81,7 +81,7 @@
 
 	// Guards against writes by all daemons at once when the store shows an older row
 	// without a restore, long after its era began.
-	It("is left to its own daemon without a restore", func() {
+	It("has its row written only by its own daemon without a restore", func() {
 		before := f.backup()
 		f.restore(before)
 		f.run(10 * time.Second)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -200,8 +200,8 @@
 
 // beforeRefusal is called before a refusal is sent. Bodies of unknown length
 // and bodies that did not arrive in time can take long, so the response begins
-// before they end. The server reads the rest of other bodies, so that a shed
-// request does not cost a connection.
+// before they end. Of other bodies, net/http reads up to 256 KiB of the rest, so
+// that a shed request with a short body does not cost a connection.
 func (e *earlyResponse) beforeRefusal(src *bodySource, status int) {
 	late := status == http.StatusGatewayTimeout && src != nil && !src.ended()
 	if late || e.r.ContentLength < 0 {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -47,19 +47,19 @@
 
 // acquire waits for a slot. It fails with fault.Overloaded when the request is
 // shed, with fault.NotReady when the gate is closed, and with fault.Timeout
-// when the context ends or the request is too late for ending first.
-func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter, stop *StopDeadline) error {
+// when the context ends or stopDeadline makes the request too late first.
+func (g *gate) acquire(ctx context.Context, now func() time.Time, w *routing.Waiter, stopDeadline *StopDeadline) error {
 	admitted := g.enqueue(now(), w)
 	if admitted == nil {
 		return verdictError(w.Verdict)
 	}
-	late := stop.lateChannel()
+	late := stopDeadline.lateChannel()
 	for waiting := true; waiting; {
 		select {
 		case <-admitted:
 			return verdictError(w.Verdict)
 		case <-late:
-			late, waiting = nil, !stop.isTooLate(w.Deadline)
+			late, waiting = nil, !stopDeadline.isTooLate(w.Deadline)
 		case <-ctx.Done():
 			waiting = false
 		}
--- a/internal/proxy/stop_deadline.go
+++ b/internal/proxy/stop_deadline.go
@@ -10,7 +10,7 @@
 )
 
 // StopDeadline tells the proxies of a daemon when it ends, so that they refuse requests
-// that may not be finished by then. A nil *StopDeadline never ends.
+// that may not be finished by then. A nil *StopDeadline refuses none.
 type StopDeadline struct {
 	// late is canceled once late requests are refused.
 	late     context.Context
@@ -68,8 +68,8 @@
 }
 
 // interruptRead makes reads of the request's body fail once the request is too late.
-// The returned function ends that; if the interruption has begun, the request is too
-// late.
+// The returned function prevents that, unless reads already fail because the request
+// is too late.
 func (s *StopDeadline) interruptRead(src *bodySource, w http.ResponseWriter, deadline time.Time) (stop func() bool) {
 	if s == nil || src.ended() {
 		return func() bool { return true }
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -14,7 +14,7 @@
 	})
 }
 
-// closingWriter adds "Connection: close" when the header of the response is
+// closingWriter adds "Connection: close" when the header of the final response is
 // written, because a stop may begin while the request is in flight.
 type closingWriter struct {
 	http.ResponseWriter
@@ -23,6 +23,7 @@
 	written bool
 }
 
+// announce adds the header field once, before the final response.
 func (w *closingWriter) announce() {
 	if !w.written && w.stopping() {
 		w.Header().Set("Connection", "close")
--- a/internal/shutdown/listener.go
+++ b/internal/shutdown/listener.go
@@ -113,8 +113,8 @@
 	acceptUntil := time.Now().Add(maxBacklogWait)
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || time.Now().After(acceptUntil) })
 	refused := l.refuseConnections()
-	// Without a processor, the server may accept connections seconds after they were
-	// opened. Closing the listener would reset them.
+	// On a machine without a free processor, the server may accept connections seconds
+	// after they were opened. Closing the listener would reset them.
 	waitUntil(ctx, func() bool { return !l.hasBacklog() || !refused && time.Now().After(acceptUntil) })
 	closed := l.Close()
 	waitUntil(ctx, func() bool { return l.accepting.Load() == 0 })
@@ -136,15 +136,15 @@
 	}
 }
 
-// flagsOffset is the offset of the flags in a TCP header, synFlag the flag of the segment
-// that opens a connection.
+// flagsOffset is the offset in bytes of the flags in a TCP header, and synFlag is the
+// flag of segments that open a connection.
 const (
 	flagsOffset = 13
 	synFlag     = 2
 )
 
-// dropOpening is a socket filter in classic BPF that drops the segments that open
-// connections and keeps all others.
+// dropOpening is a socket filter in classic BPF that drops segments with synFlag and
+// keeps all others.
 var dropOpening = [...]unix.SockFilter{
 	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
 	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: synFlag, Jf: 1},
@@ -154,7 +154,7 @@
 
 // refuseConnections keeps clients from opening connections, and reports whether that
 // succeeded. A client that tries sends its segment again a second later, and is refused
-// once the listener is closed.
+// if the listener is closed by then.
 func (l *Listener) refuseConnections() bool {
 	raw, err := l.SyscallConn()
 	if err != nil {
