--- a/internal/sidecar/lost_state.go
+++ b/internal/sidecar/lost_state.go
@@ -19,7 +19,7 @@
 const (
 	// lostStatePath is the path on the peer listener at which a starting daemon gets
 	// the state that a restore of the store may have lost.
-	lostStatePath = "/v2/undone"
+	lostStatePath = "/v2/lost-state"
 	// lostStateRounds and lostStateRoundTimeout bound the time for which a start waits
 	// for other daemons, some of which may be down. A round asks gossipFanout
 	// daemons; another one follows only if none of them has loaded the tables.
@@ -147,7 +147,7 @@
 		}
 	}
 	d.loop.call(func(now time.Time) { d.applyLostState(now, all) })
-	d.logger.Info().Str("event", "undone-state").Uint64("era", era).Int("responses", len(all)).Int("loaded", loaded).Msg("asked other daemons for state that the store may lack")
+	d.logger.Info().Str("event", "lost-state").Uint64("era", era).Int("responses", len(all)).Int("loaded", loaded).Msg("asked other daemons for state that the store may lack")
 }
 
 // listedPeers returns the peer addresses of the daemons of ready targets in the list
@@ -185,7 +185,7 @@
 		go func() {
 			response, err := d.sendLostStateRequest(ctx, address, request)
 			if err != nil {
-				d.logger.Debug().Err(err).Str("event", "undone-failed").Str("peer", address).Msg("request for lost state failed")
+				d.logger.Debug().Err(err).Str("event", "lost-state-failed").Str("peer", address).Msg("request for lost state failed")
 			}
 			responses <- response
 		}()
