--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -186,9 +186,9 @@
 	return true
 }
 
-// FuzzUndone guards against requests and responses of starting daemons that crash a
+// FuzzLostState guards against requests and responses of starting daemons that crash a
 // daemon or stop it from serving, and against state that changes when it is sent on.
-func FuzzUndone(f *testing.F) {
+func FuzzLostState(f *testing.F) {
 	for _, seed := range []string{
 		`{"configuration":4}`, `{"configuration":-1}`, `{}`, `null`, "", `{`,
 		`{"vm":"b","loaded":true,"configuration":[{"table":"operators","name":"config","text":"9","version":4}]}`,
@@ -204,19 +204,19 @@
 			return
 		}
 		d := startFuzzDaemon(t, "a")
-		if code := post(t, d.serveUndone, data).Code; code != http.StatusOK && code != http.StatusBadRequest {
+		if code := post(t, d.serveLostState, data).Code; code != http.StatusOK && code != http.StatusBadRequest {
 			t.Fatalf("status %d", code)
 		}
-		message := &undoneResponse{}
+		message := &lostStateResponse{}
 		if json.NewDecoder(bytes.NewReader(data)).Decode(message) != nil {
 			checkServing(t, d)
 			return
 		}
-		d.loop.call(func(now time.Time) { d.applyUndone(now, []*undoneResponse{message}) })
+		d.loop.call(func(now time.Time) { d.applyLostState(now, []*lostStateResponse{message}) })
 		checkServing(t, d)
-		state := func(d *Daemon) (u undoneResponse) {
+		state := func(d *Daemon) (u lostStateResponse) {
 			t.Helper()
-			response := post(t, d.serveUndone, []byte("{}"))
+			response := post(t, d.serveLostState, []byte("{}"))
 			if err := json.Unmarshal(response.Body.Bytes(), &u); err != nil {
 				t.Fatalf("status %d: %v", response.Code, err)
 			}
@@ -224,7 +224,7 @@
 		}
 		sent := state(d)
 		other := startFuzzDaemon(t, "c")
-		other.loop.call(func(now time.Time) { other.applyUndone(now, []*undoneResponse{&sent}) })
+		other.loop.call(func(now time.Time) { other.applyLostState(now, []*lostStateResponse{&sent}) })
 		received := state(other)
 		if got, want := encodings(received.Mesh), encodings(sent.Mesh); !reflect.DeepEqual(got, want) {
 			t.Fatalf("rows change when they are sent on:\n%s\n%s", strings.Join(want, "\n"), strings.Join(got, "\n"))
@@ -239,7 +239,7 @@
 	})
 }
 
-func services(orders []undoneOrder) []string {
+func services(orders []wireOrder) []string {
 	var names []string
 	for _, o := range orders {
 		names = append(names, o.Service)
