Fit the rows of left targets into the entries of one transaction

What operators would see: after a restore that loses the state of more than 50 left targets, none of their rows is written again, since the store refuses the write each time. Daemons that start later take those targets for ready.

Cause: each row of the write is two entries, itself and its condition, and the platform allows 100 entries in a transaction; the bound was 64 rows. Found by reading.

--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -125,8 +125,9 @@
 	// leftTargetDelay is the time in which only the daemon of a target writes the
 	// target's row, after another daemon has found that it was lost in a restore.
 	leftTargetDelay = 2 * time.Second
-	// maxTargetsPerWrite bounds the rows of targets in one write.
-	maxTargetsPerWrite = 64
+	// maxTargetsPerWrite bounds the rows of targets in one write. Each row is two
+	// entries of the transaction, of which the store allows 100.
+	maxTargetsPerWrite = 48
 )
 
 // lostTargetRow is a row of the store whose record is older than the known one.
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -84,7 +84,14 @@
 	}
 }
 
+// maxTransactionEntries is the number of entries that a store accepts in a
+// transaction.
+const maxTransactionEntries = 100
+
 func (f *fleet) commit(tx rows.Transaction) (uint64, error) {
+	if len(tx.Conditions)+len(tx.Writes)+len(tx.Removes) > maxTransactionEntries {
+		return 0, fault.New(fault.Invalid, "the transaction has too many entries")
+	}
 	for _, c := range tx.Conditions {
 		required := c.Version
 		if rows.Era(required) < f.era || rows.Counter(required) == 0 {
