Remove a field that is never read, and say where the late part of a stop comes from

StopDeadline kept the time from which late requests are refused beside the timer that uses it, and a case in Reset repeated a condition that always holds there. No behavior changes.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -15,7 +15,7 @@
 const leaveDelay = 300 * time.Millisecond
 
 // lateFraction is the part of the drain time after which requests that may not be
-// finished in the rest of it are refused.
+// finished in the rest of it are refused. It is the part that the sidecar uses.
 const lateFraction = 0.5
 
 // stop performs the planned stop. The daemon accepts new requests until the other
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -126,7 +126,7 @@
 		case before.record.newer(known.record):
 			n.targets[vm] = before
 			n.noteTargetRow(now, vm, listed[targetPrefix+vm], known.record)
-		case ok && before.record.Incarnation == known.record.Incarnation && before.record.Era == known.record.Era:
+		case before.record.Incarnation == known.record.Incarnation && before.record.Era == known.record.Era:
 			n.targets[vm] = knownTarget{record: known.record, received: before.received}
 		}
 	}
--- a/internal/proxy/stop_deadline.go
+++ b/internal/proxy/stop_deadline.go
@@ -16,9 +16,8 @@
 	late     context.Context
 	markLate context.CancelFunc
 
-	mu        sync.Mutex
-	lastStart time.Time
-	end       time.Time
+	mu  sync.Mutex
+	end time.Time
 }
 
 // NewStopDeadline returns a StopDeadline without times.
@@ -32,7 +31,7 @@
 // target only if their deadline is not after end. It must be called at most once.
 func (s *StopDeadline) Set(lastStart, end time.Time) {
 	s.mu.Lock()
-	s.lastStart, s.end = lastStart, end
+	s.end = end
 	s.mu.Unlock()
 	time.AfterFunc(time.Until(lastStart), s.markLate)
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -52,7 +52,8 @@
 	// finalResponseTime bounds the time for these responses.
 	finalResponseTime = 200 * time.Millisecond
 	// lateFraction is the part of the grace period after which requests that may
-	// not be finished in the rest of it are refused.
+	// not be finished in the rest of it are refused. The platform waits for requests
+	// of the first 3 s of a grace period of 6 s.
 	lateFraction = 0.5
 )
 
