--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,7 +21,10 @@
 type scenario func(record *recorder, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"late-heartbeat": lateHeartbeat,
+	"late-heartbeat":      lateHeartbeat,
+	"crash-lookalike":     crashLookalike,
+	"crash-after-leaving": crashAfterLeaving,
+	"crash-distinct":      crashDistinct,
 }
 
 // errUnfit is the reason of a run that cannot show anything.
