--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case: exit code 1 if the rule was broken, 0 if it held, 2 if the case
+# could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/rig ] || exit 2
+exec target/review/rig readers-frozen review/5
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"crash-lookalike":     crashLookalike,
 	"crash-after-leaving": crashAfterLeaving,
 	"crash-distinct":      crashDistinct,
+	"readers-frozen":      readersFrozen,
 }
 
 // errUnfit is the reason of a run that cannot show anything.
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -243,6 +243,12 @@
 	return nil
 }
 
+// signal sends a signal to the daemon.
+func (m *machine) signal(s syscall.Signal) {
+	m.rig.record.add("%s  signal %q to the daemon", m.name, s)
+	_ = m.daemon.Process.Signal(s)
+}
+
 // kill ends the daemon at once and waits for its end.
 func (m *machine) kill() {
 	if m.daemon != nil {
