--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] || exit 2
-exec target/review/rig readers-frozen review/5
+exec target/review/rig readers-dark review/5
--- a/review/rig/crash.go
+++ b/review/rig/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,10 +12,8 @@
 const (
 	// contact is the bound `contact` of the settings.
 	contact = 3 * time.Second
-	// deadlyInterval is the time between two sendings of the crashing request. The
-	// servers that it crashed are back before the next one.
-	deadlyInterval = 4 * time.Second
-	deadlySendings = 12
+	// crashMachines is the number of machines of the cases with a crashing request.
+	crashMachines = 8
 	// countedCrashes and allowedRetries are the figures of rule BUDGET: not more than
 	// three retries later than `contact` after the third crash.
 	countedCrashes = 3
@@ -27,6 +26,8 @@
 	request
 	// crashAfter is how long a server runs it until the crash.
 	crashAfter time.Duration
+	// pauses holds, for each sending, the time from its end to the next one.
+	pauses []time.Duration
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -62,7 +63,7 @@
 // playDeadly sends the request again and again beside the traffic, and reports
 // whether too many sendings reached servers.
 func playDeadly(record *recorder, trouble bool, d *deadly, harmless func(i int) request) (bool, error) {
-	r, err := newRig(record, "vault", 6, route("look", "safe", "vault"))
+	r, err := newRig(record, "vault", crashMachines, route("look", "safe", "vault"))
 	if err != nil {
 		return false, err
 	}
@@ -75,7 +76,7 @@
 	others.start()
 	time.Sleep(3 * time.Second)
 	retries := 0
-	for i := range deadlySendings {
+	for i, pause := range d.pauses {
 		if trouble {
 			q, counted := d.request, d.counts()
 			q.id = fmt.Sprintf("deadly-%d", i)
@@ -88,19 +89,26 @@
 				retries++
 			}
 		}
-		time.Sleep(deadlyInterval)
+		time.Sleep(pause)
 	}
 	others.stop()
 	record.add("servers  crashes %d; sendings later than `contact` after the third crash that reached servers %d, allowed %d", len(d.crashes), retries, allowedRetries)
 	return retries > allowedRetries, others.enough(300)
 }
 
+// quick is a short pause between two sendings.
+const quick = 50 * time.Millisecond
+
+// spaced returns the pauses of 12 sendings. The servers that one of them crashed are
+// back before the next one.
+func spaced() []time.Duration { return slices.Repeat([]time.Duration{4 * time.Second}, 12) }
+
 // crashLookalike shows rule BUDGET with a request whose body begins like those of
 // harmless requests.
 func crashLookalike(record *recorder, trouble bool) (bool, error) {
 	// Scans of one scanner begin with the same 5 kB of format data.
 	format := strings.Repeat("format data of the scanner, the same in each scan\n", 100)
-	d := &deadly{request: request{method: "POST", path: "/look/scan", body: format + "mandate 4711", deadline: time.Second}}
+	d := &deadly{request: request{method: "POST", path: "/look/scan", body: format + "mandate 4711", deadline: time.Second}, pauses: spaced()}
 	return playDeadly(record, trouble, d, func(i int) request {
 		return request{id: fmt.Sprintf("r%05d", i), method: "POST", path: "/look/scan", body: fmt.Sprintf("%smandate %d", format, 100000+i), deadline: time.Second}
 	})
@@ -112,6 +120,8 @@
 	d := &deadly{
 		request:    request{method: "GET", path: "/look/deadly", deadline: time.Second, leaveAfter: objective / 2},
 		crashAfter: 300 * time.Millisecond,
+		// All sendings lie within 5.5 s.
+		pauses: []time.Duration{0, 0, 3300 * time.Millisecond, quick, quick, quick, quick, quick, 3 * time.Second},
 	}
 	return playDeadly(record, trouble, d, func(i int) request {
 		return request{id: fmt.Sprintf("r%05d", i), method: "GET", path: fmt.Sprintf("/look/%d", i), deadline: time.Second}
@@ -121,7 +131,7 @@
 // crashDistinct is crashLookalike with a body that begins unlike those of harmless
 // requests. It is no case; the rule holds in it.
 func crashDistinct(record *recorder, trouble bool) (bool, error) {
-	d := &deadly{request: request{method: "POST", path: "/look/scan", body: strings.Repeat("another scanner\n", 300), deadline: time.Second}}
+	d := &deadly{request: request{method: "POST", path: "/look/scan", body: strings.Repeat("another scanner\n", 300), deadline: time.Second}, pauses: spaced()}
 	return playDeadly(record, trouble, d, func(i int) request {
 		return request{id: fmt.Sprintf("r%05d", i), method: "POST", path: "/look/scan", body: fmt.Sprintf("mandate %d", 100000+i), deadline: time.Second}
 	})
--- a/review/rig/late_heartbeat.go
+++ b/review/rig/late_heartbeat.go
@@ -42,7 +42,7 @@
 // lateHeartbeat shows rule DRAIN: a server that has deregistered gets requests
 // again, after a heartbeat that its earlier start under the same id had sent.
 func lateHeartbeat(record *recorder, trouble bool) (bool, error) {
-	r, err := newRig(record, "desk", 4, route("place", "unsafe", "desk"))
+	r, err := newRig(record, "desk", 8, route("place", "unsafe", "desk"))
 	if err != nil {
 		return false, err
 	}
@@ -53,7 +53,7 @@
 	server, counter := r.machines[0].server, &leavingServer{record: record}
 	server.onRun = counter.ran
 	// The clients are on the other machines, on which nothing is disturbed.
-	clients := &traffic{record: record, machines: r.machines[1:], interval: 6 * time.Millisecond, next: func(i int) request {
+	clients := &traffic{record: record, machines: r.machines[1:], interval: 3 * time.Millisecond, next: func(i int) request {
 		return request{id: fmt.Sprintf("r%05d", i), method: "POST", path: "/place/", body: fmt.Sprintf("reorder %d", i), deadline: time.Second}
 	}}
 	clients.start()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,7 +25,7 @@
 	"crash-lookalike":     crashLookalike,
 	"crash-after-leaving": crashAfterLeaving,
 	"crash-distinct":      crashDistinct,
-	"readers-frozen":      readersFrozen,
+	"readers-dark":        readersDark,
 }
 
 // errUnfit is the reason of a run that cannot show anything.
--- a/review/rig/readers_frozen.go
+++ b/review/rig/readers_dark.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -14,11 +15,11 @@
 const (
 	// configApply is the bound `config_apply` of the settings.
 	configApply = 2 * time.Second
-	// frozenTime is how long the daemons stand still.
-	frozenTime = 4 * time.Second
-	// frozenMachines of relayMachines stand still, which is a share of 0.1.
-	relayMachines  = 20
-	frozenMachines = 2
+	// darkTime is how long the machines have no power.
+	darkTime = 3500 * time.Millisecond
+	// darkMachines of relayMachines lose power, which is a share of 0.1.
+	relayMachines = 20
+	darkMachines  = 2
 )
 
 // readsStore reports whether the daemon's log says that it reads the store itself.
@@ -64,9 +65,22 @@
 	}
 }
 
-// readersFrozen shows rule CONFIG: both daemons that read the store for their zone
-// stand still, and a route is added right after that.
-func readersFrozen(record *recorder, trouble bool) (bool, error) {
+// losePower makes the machine silent, and starts its daemon and its server again
+// after darkTime. A stopped process answers as little as a machine without power.
+func (m *machine) losePower() {
+	m.signal(syscall.SIGSTOP)
+	m.server.crash()
+	time.AfterFunc(darkTime, func() {
+		m.kill()
+		if err := errors.Join(m.start(false), m.server.start("", time.Now().UnixMilli())); err != nil {
+			m.rig.record.add("%s  not started again: %v", m.name, err)
+		}
+	})
+}
+
+// readersDark shows rule CONFIG: the machines of both daemons that read the store for
+// their zone lose power, and a route is added right after that.
+func readersDark(record *recorder, trouble bool) (bool, error) {
 	look := route("look", "safe", "desk")
 	r, err := newRig(record, "desk", relayMachines, look)
 	if err != nil {
@@ -77,7 +91,7 @@
 		return false, err
 	}
 	time.Sleep(5 * time.Second)
-	var frozen, others []*machine
+	var dark, others []*machine
 	for _, m := range r.machines {
 		reads, err := m.readsStore()
 		if err != nil {
@@ -85,18 +99,17 @@
 		}
 		switch {
 		case reads && m.zone == r.machines[0].zone:
-			frozen = append(frozen, m)
+			dark = append(dark, m)
 		case !reads:
 			others = append(others, m)
 		}
 	}
-	if len(frozen) != frozenMachines {
-		return false, fmt.Errorf("%d daemons of the zone read the store: %w", len(frozen), errUnfit)
+	if len(dark) != darkMachines {
+		return false, fmt.Errorf("%d daemons of the zone read the store: %w", len(dark), errUnfit)
 	}
 	if trouble {
-		for _, m := range frozen {
-			m.signal(syscall.SIGSTOP)
-			time.AfterFunc(frozenTime, func() { m.signal(syscall.SIGCONT) })
+		for _, m := range dark {
+			m.losePower()
 		}
 	}
 	if err := r.configure(look, route("added", "safe", "desk")); err != nil {
