--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,10 +19,11 @@
 
 // cases holds the scripts by name. trouble is false for the play without the disruption.
 var cases = map[string]func(rec *recorder, trouble bool) (verdict, error){
-	"late-heartbeat": lateHeartbeat,
-	"masked-crash":   maskedCrash,
-	"encoded-slash":  encodedSlash,
-	"lost-watch":     lostWatch,
+	"odd-heartbeat":    oddHeartbeat,
+	"wrong-framing":    wrongFraming,
+	"encoded-slash":    encodedSlash,
+	"lost-watch":       lostWatch,
+	"readers-rejected": readersRejected,
 }
 
 // Exit codes of a script.
--- a/review/rig2/late_heartbeat.go
+++ b/review/rig2/odd_heartbeat.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// lateHeartbeat plays this: a server crashes and starts again under the id that it had.
-// Then it leaves: it deregisters, and serves on for some seconds. Meanwhile a heartbeat of
-// its first run arrives, seconds late. Without the disruption that heartbeat is not late.
-func lateHeartbeat(rec *recorder, trouble bool) (verdict, error) {
+// oddHeartbeat plays this: a server leaves. It deregisters, and serves on for some seconds.
+// Meanwhile a heartbeat of another writer arrives under its id, without the fields
+// sequence and born. Without the disruption that heartbeat does not come.
+func oddHeartbeat(rec *recorder, trouble bool) (verdict, error) {
 	w, err := newWorld(rec, slices.Repeat([]string{"desk"}, 8)...)
 	if err != nil {
 		return verdict{}, err
@@ -47,32 +47,18 @@
 			failed[q.id] = a.String()
 		}
 	})
-	time.Sleep(time.Second)
-
-	path, body, _ := leaver.nextHeartbeat()
-	if trouble {
-		rec.add("server", "sends a heartbeat that will be late: %s", body)
-	} else if status, err := leaver.sendHeartbeat(path, body); err != nil || status != 200 {
-		return verdict{}, fmt.Errorf("heartbeat: %d, %v", status, err)
-	}
-	time.Sleep(500 * time.Millisecond)
-	rec.add("server", "%s crashes", leaver.instance)
-	leaver.end()
-	time.Sleep(1500 * time.Millisecond)
-	if err := leaver.start(); err != nil {
-		return verdict{}, err
-	}
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 	status, err := leaver.deregister()
 	if err != nil || status != 200 {
 		return verdict{}, fmt.Errorf("the leave notice got %d, %v", status, err)
 	}
 	acknowledged := time.Now()
-	rec.add("server", "%s leaves; acknowledged with %d", leaver.instance, status)
+	rec.add("server", "%s leaves with DELETE; acknowledged with %d", leaver.instance, status)
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
-		status, err := leaver.sendHeartbeat(path, body)
-		rec.add("server", "the late heartbeat of the first run arrives, 6 s after it was sent: %d, %v", status, err)
+		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"lj-a","version":"v1","slots":%d,"state":"ready","cold_remaining":"0ms"}`, leaver.m.address(appPort), slots)
+		status, err := leaver.sendHeartbeat("/instances/"+leaver.instance, []byte(body))
+		rec.add("writer", "sends a heartbeat without sequence and born: %s: %d, %v", body, status, err)
 	}
 	time.Sleep(5 * time.Second)
 	ended := time.Now()
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -24,8 +24,8 @@
 type server struct {
 	m    *machine
 	work time.Duration
-	// crashes tells whether a request crashes the server. It may be nil.
-	crashes func(body []byte) bool
+	// misframes tells whether the answer to a request has a wrong framing. It may be nil.
+	misframes func(id string) bool
 	// onRun is called when a server begins to work on a request. It may be nil.
 	onRun func(id string, at time.Time)
 
@@ -124,7 +124,7 @@
 	}
 	s.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"service": s.m.service, "address": s.m.address(appPort), "zone": "lj-a", "version": "v1", "slots": slots, "state": "ready",
+		"service": s.m.service, "address": s.m.address(appPort), "zone": s.m.zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining": "0ms", "sequence": s.sequence, "born": s.born,
 	})
 	return "/instances/" + s.instance, body, true
@@ -216,11 +216,6 @@
 	if s.onRun != nil {
 		s.onRun(id, time.Now())
 	}
-	if s.crashes != nil && s.crashes(body) {
-		s.m.w.rec.add("server", "%s at %s crashes", instance, s.m.name)
-		s.end()
-		return
-	}
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
@@ -228,7 +223,24 @@
 		return
 	}
 	text := "done by " + s.m.service + " for " + id
+	if s.misframes != nil && s.misframes(id) {
+		s.misframe(w, id, instance, text)
+		return
+	}
 	w.Header().Set("X-Magnoliamount-Server-Signature", "s."+instance+"."+id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
 	_, _ = io.WriteString(w, text)
 }
+
+// misframe answers with the status line of HTTP/1.0 and a body in chunks, which HTTP/1.0
+// does not have, and closes the connection.
+func (s *server) misframe(w http.ResponseWriter, id, instance, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	s.m.w.rec.add("server", "%s at %s answers %s with HTTP/1.0 and chunks", instance, s.m.name, id)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.0 200 OK\r\nX-Magnoliamount-Request-Id: %s\r\nX-Magnoliamount-Server-Signature: s.%s.%s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		id, instance, id, len(text), text)
+}
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -53,6 +53,8 @@
 	tenants []map[string]any
 	// spare is a machine that start leaves out. It may be nil.
 	spare *machine
+	// zones are the zones of the machines.
+	zones []string
 }
 
 // machine is one machine with the process of its daemon and its server.
@@ -70,6 +72,9 @@
 	// answers to them are lost.
 	feeds    atomic.Int64
 	loseFeed atomic.Bool
+	zone     string
+	// rejected is true while the store rejects the machine's calls with a reset.
+	rejected atomic.Bool
 	// bootstrapped is true for a machine that is added after the first start.
 	bootstrapped bool
 }
@@ -80,14 +85,14 @@
 
 // newWorld starts the store and one machine for each of the services.
 func newWorld(rec *recorder, services ...string) (*world, error) {
-	w := &world{rec: rec, store: standin.New()}
+	w := &world{rec: rec, store: standin.New(), zones: []string{"lj-a"}}
 	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 5 * time.Second}
 	var err error
 	if w.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
 	for i, service := range services {
-		w.machines = append(w.machines, &machine{w: w, name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprintf("127.0.10.%d", i+1), service: service})
+		w.machines = append(w.machines, &machine{w: w, name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprintf("127.0.10.%d", i+1), service: service, zone: "lj-a"})
 	}
 	if err := w.choosePorts(); err != nil {
 		return nil, err
@@ -107,14 +112,42 @@
 // serveStore serves the machine's calls to the store. A connection on which an answer is
 // lost delivers nothing further.
 func (m *machine) serveStore(rw http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/rows-feed" || r.URL.Query().Get("table") != "mesh" {
-		m.w.store.ServeHTTP(rw, r)
+	if m.rejected.Load() {
+		resetConnection(rw)
 		return
 	}
-	m.feeds.Add(1)
+	if r.URL.Path == "/rows-feed" {
+		m.serveFeed(rw, r)
+		return
+	}
+	m.w.store.ServeHTTP(rw, r)
+}
+
+// resetConnection resets the connection of a call.
+func resetConnection(rw http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// serveFeed serves a watch, whose answer may be lost.
+func (m *machine) serveFeed(rw http.ResponseWriter, r *http.Request) {
+	mesh := r.URL.Query().Get("table") == "mesh"
+	if mesh {
+		m.feeds.Add(1)
+	}
 	response := httptest.NewRecorder()
 	m.w.store.ServeHTTP(response, r)
-	if m.loseFeed.Load() && r.Context().Err() == nil {
+	if m.rejected.Load() {
+		resetConnection(rw)
+		return
+	}
+	if mesh && m.loseFeed.Load() && r.Context().Err() == nil {
 		m.w.rec.add("store", "the answer to a watch of %s is lost: %s", m.name, strings.TrimSpace(response.Body.String()))
 		<-r.Context().Done()
 		m.w.rec.add("store", "%s gives up that watch", m.name)
@@ -160,9 +193,13 @@
 		"budget_window": "10s", "budget_slack": 60, "exposure_share": 0.1, "exposure_slack": 50, "rollback": "5000ms", "recovery": "15s",
 	}
 	maps.Copy(bounds, m.w.bounds)
+	zones := map[string]string{}
+	for _, zone := range m.w.zones {
+		zones[zone] = "si-central"
+	}
 	return json.MarshalIndent(map[string]any{
 		"self": map[string]any{
-			"node": m.name, "role": "daemon", "machine_class": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip, "zone": "lj-a", "region": "si-central",
+			"node": m.name, "role": "daemon", "machine_class": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip, "zone": m.zone, "region": "si-central",
 			"bootstrap": !m.bootstrapped, "app_address": m.address(appPort), "service": m.service,
 			"limits": map[string]any{"cpu_share": 0.32, "cores": 1, "memory_mb": 284, "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		},
@@ -170,7 +207,7 @@
 			"listen": map[string]string{
 				"inbound": m.address(inboundPort), "outbound": m.address(outboundPort), "ready": m.address(readyPort), "control": m.address(controlPort),
 			},
-			"internal_ports": []int{first, first + 15}, "seeds": []string{}, "zones": map[string]string{"lj-a": "si-central"},
+			"internal_ports": []int{first, first + 15}, "seeds": []string{}, "zones": zones,
 		},
 		"platform": map[string]any{
 			"discovery": "static", "entry": "static", "heartbeat": "1500ms",
