--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -22,7 +22,6 @@
 
 // Bounds of the small site, as its settings file states them.
 const (
-	contact     = 3 * time.Second
 	drain       = 2 * time.Second
 	configApply = 2 * time.Second
 	heartbeat   = 1500 * time.Millisecond
