--- a/review/rig2/readers_rejected.go
+++ b/review/rig2/readers_rejected.go
@@ -13,7 +13,7 @@
 // rejectTime is how long the store rejects the machines, and rejectedPerZone the number of
 // them in each zone.
 const (
-	rejectTime      = 9 * time.Second
+	rejectTime      = 8800 * time.Millisecond
 	rejectedPerZone = 3
 )
 
