--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -24,8 +24,8 @@
 type server struct {
 	m    *machine
 	work time.Duration
-	// misframes tells whether the answer to a request has a wrong framing. It may be nil.
-	misframes func(id string) bool
+	// misframes tells whether the next answer has a wrong framing. It may be nil.
+	misframes func() bool
 	// onRun is called when a server begins to work on a request. It may be nil.
 	onRun func(id string, at time.Time)
 
@@ -223,7 +223,7 @@
 		return
 	}
 	text := "done by " + s.m.service + " for " + id
-	if s.misframes != nil && s.misframes(id) {
+	if s.misframes != nil && s.misframes() {
 		s.misframe(w, id, instance, text)
 		return
 	}
--- a/review/rig2/wrong_framing.go
+++ b/review/rig2/wrong_framing.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// misframedOf is the number of answers of which a faulty server spoils one.
+const misframedOf = 20
+
 // wrongFraming plays this: for some seconds a part of the servers spoils some of their
 // answers: these have the status line of HTTP/1.0 and a body in chunks. Without the
 // disruption all answers are sound.
@@ -24,11 +27,8 @@
 	time.Sleep(3 * time.Second)
 	if trouble {
 		for _, m := range w.machines[:2] {
-			m.server.misframes = func(id string) bool {
-				digest := fnv.New32a()
-				_, _ = digest.Write([]byte(id))
-				return digest.Sum32()%20 == 0
-			}
+			var answered atomic.Int64
+			m.server.misframes = func() bool { return answered.Add(1)%misframedOf == 0 }
 		}
 	}
 	var mu sync.Mutex
@@ -44,7 +44,7 @@
 			rec.add("script", "the client of %s got a complete 200 with the body %q", q.id, a.body)
 		}
 	})
-	time.Sleep(5 * time.Second)
+	time.Sleep(4800 * time.Millisecond)
 	traffic.stop()
 	mu.Lock()
 	defer mu.Unlock()
