--- a/review/rig2/lost_watch.go
+++ b/review/rig2/lost_watch.go
@@ -79,7 +79,7 @@
 	if err := added.startAll(); err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(4500 * time.Millisecond)
+	time.Sleep(4300 * time.Millisecond)
 	stale.loseFeed.Store(false)
 	time.Sleep(3 * time.Second)
 
@@ -103,7 +103,7 @@
 		sent++
 		answers[a.String()]++
 	})
-	time.Sleep(7 * time.Second)
+	time.Sleep(6300 * time.Millisecond)
 	traffic.stop()
 	mu.Lock()
 	defer mu.Unlock()
