Let a served daemon read the store for readers that it rejects

Cause: while a reader reported that it gets no updates, only the first spare of its failure domain called the store. Where that daemon was rejected as well, nobody looked for the store.

Change: a rejected reader offers every second of its own calls to the daemons that poll it, each in turn. One that the store serves tells the reader, and reads the store as its substitute if the reader is still rejected. The age of a reader's rows counts from the response of the store, and a store that responds for one table only counts as unavailable.

It works because the way to the store no longer depends on fixed daemons, and costs no calls because each offered call takes the place of one of the reader.

--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -36,16 +36,13 @@
 	Sources []string
 	// Spares lists the addresses of daemons that may read the store while no source
 	// responds. A daemon has only spares that are selected before itself, so that no
-	// two spares follow each other. Where revocation is strict, readers that get no
-	// updates ask them too.
+	// two spares follow each other.
 	Spares []string
+	// Followers is the number of daemons of the failure domain that do not read the
+	// store. It is not set for readers.
+	Followers int
 }
 
-// ProbesStore reports whether the daemon calls the store from time to time while its
-// sources report that they get no updates: the first spare of its failure domain. The
-// others there follow it if that succeeds.
-func (r *Relay) ProbesStore() bool { return len(r.Spares) == 0 }
-
 // Relay selects the readers among the known daemons: those with the fastest
 // links in each failure domain. All daemons with the same rows select the same
 // readers.
@@ -64,7 +61,7 @@
 		ring = append(ring, readers[:min(readersPerDomain, len(readers))]...)
 	}
 	if at := slices.IndexFunc(ring, func(r *TargetRecord) bool { return r.VM == n.self.VM }); at >= 0 {
-		return Relay{Reader: true, Sources: []string{ring[(at+1)%len(ring)].Peer}, Spares: n.spares(domains[n.self.Domain])}
+		return Relay{Reader: true, Sources: []string{ring[(at+1)%len(ring)].Peer}}
 	}
 	var sources []string
 	for _, r := range ring {
@@ -75,7 +72,10 @@
 	if len(sources) > 1 && xxhash.Sum64String(n.self.VM)%2 == 1 {
 		slices.Reverse(sources)
 	}
-	return Relay{Reader: len(sources) == 0, Sources: sources, Spares: n.spares(domains[n.self.Domain])}
+	return Relay{
+		Reader: len(sources) == 0, Sources: sources, Spares: n.spares(domains[n.self.Domain]),
+		Followers: len(domains[n.self.Domain]) - len(sources),
+	}
 }
 
 // spares returns the peer addresses of the spares among the daemons of this
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -108,7 +108,15 @@
 	// relayedContact is when the store last responded to a reader from which the next
 	// reader gets its rows, as nanoseconds since the start of the daemon.
 	relayedContact atomic.Int64
-	recovery       storeRecovery
+	// lostTables tells whether storeUnavailable may be cleared.
+	lostTables lostTables
+	recovery   storeRecovery
+	// probes hands calls to the store to other daemons, and substitute is one that reads
+	// the store, while this daemon is a reader that the store rejects.
+	probes     delegatedProbes
+	substitute substituteReader
+	// substituting is true while this daemon reads the store in place of its readers.
+	substituting atomic.Bool
 	// leaveNotices counts the leave notices of targets; it belongs to the event
 	// loop.
 	leaveNotices int
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -86,6 +86,8 @@
 	change           func(now time.Time, changes []rows.Change)
 	storeUnavailable bool
 	backoff          backoff
+	// callBegan is when the latest call to the store began.
+	callBegan time.Time
 }
 
 // run keeps the copy up to date from the store until ctx ends. It lists the
@@ -103,6 +105,7 @@
 	}
 	for ctx.Err() == nil {
 		began := f.d.knowledge.Now()
+		f.callBegan = time.Now()
 		snapshot, err := f.d.list(ctx, cause, f.table)
 		if !f.handleResult(ctx, err) {
 			continue
@@ -163,6 +166,7 @@
 func (f *follower) watch(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
 		watchStart := time.Now()
+		f.callBegan = watchStart
 		call, cancel := f.d.untilStoreRecovers(ctx)
 		completed := watchCall{began: f.d.knowledge.Now(), wait: f.watchTimeout()}
 		changes, next, err := f.d.watch(call, f.table, version, completed.wait)
@@ -242,19 +246,64 @@
 	}
 }
 
+// lostTables counts the tables whose calls fail. It is safe for concurrent use.
+type lostTables struct {
+	mu    sync.Mutex
+	count int
+	// recovering is true once the store responds for one of the tables.
+	recovering bool
+}
+
+// add records that the calls for a table fail.
+func (l *lostTables) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count++
+	l.recovering = l.recovering && l.count > 1
+}
+
+// remove records that the store responds for a table again, and reports whether it is the
+// first one since all of them responded.
+func (l *lostTables) remove() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count--
+	first := !l.recovering
+	l.recovering = true
+	return first
+}
+
+// none reports whether the store responds for all tables.
+func (l *lostTables) none() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count == 0
+}
+
+// reset is called before new followers start.
+func (l *lostTables) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count, l.recovering = 0, false
+}
+
 // untilStoreRecovers returns a context that is also canceled when another watch
 // finds that the store responds again.
 func (d *Daemon) untilStoreRecovers(ctx context.Context) (context.Context, context.CancelFunc) {
-	call, cancel := context.WithCancel(ctx)
-	recovered := d.recovery.channel()
+	return contextUntil(ctx, d.recovery.channel())
+}
+
+// contextUntil returns a context that is also canceled when the channel is closed.
+func contextUntil(ctx context.Context, closed <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		select {
-		case <-recovered:
+		case <-closed:
 			cancel()
-		case <-call.Done():
+		case <-ctx.Done():
 		}
 	}()
-	return call, cancel
+	return ctx, cancel
 }
 
 // sleep waits for the duration or until ctx ends.
@@ -276,8 +325,14 @@
 		if f.storeUnavailable {
 			f.d.logger.Info().Str("event", "store-regained").Str("table", f.table).Msg("store responds again")
 			f.storeUnavailable = false
+			if f.d.lostTables.remove() {
+				// The calls for the other table wait, or may never get a response.
+				f.d.recovery.signal()
+			}
+		}
+		if f.d.storeUnavailable.Load() && f.d.lostTables.none() {
 			f.setStoreUnavailable(false)
-			f.d.recovery.signal()
+			f.d.probes.reset()
 		}
 		f.backoff.reset()
 		return true
@@ -285,16 +340,45 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !f.storeUnavailable {
+	// The first call to fail may have waited for changes before.
+	callTime := time.Duration(0)
+	if f.storeUnavailable {
+		callTime = time.Since(f.callBegan)
+	} else {
+		f.d.lostTables.add()
 		f.d.logger.Warn().Err(err).Str("event", "store-lost").Str("table", f.table).Msg("store does not respond; the last known state stays in force")
 		f.setStoreUnavailable(true)
 	}
 	f.storeUnavailable = true
 	f.backoff.maxDelay = watchSpacing(int(f.d.daemonCount.Load()))
-	f.backoff.wait(ctx)
+	f.awaitRetry(ctx, callTime)
 	return false
 }
 
+// awaitRetry waits until a failed call may be repeated, or until another one succeeds. A
+// reader offers every second call to the daemons that poll it. If one of them makes the
+// call, the reader waits for the time that its own would have taken.
+func (f *follower) awaitRetry(ctx context.Context, callTime time.Duration) {
+	ctx, cancel := f.d.untilStoreRecovers(ctx)
+	defer cancel()
+	if f.table != f.d.config.Operators.Table() {
+		if f.d.KnowledgeAge() < f.d.maxRelayedAge() {
+			// The store serves the operators' table, so that its follower offers no calls.
+			f.d.probes.offer()
+		}
+		// The first call that succeeds, for either table, ends the wait.
+		f.backoff.wait(ctx)
+		f.backoff.wait(ctx)
+		return
+	}
+	f.d.probes.offer()
+	f.backoff.wait(ctx)
+	if f.d.probes.collect() > 0 {
+		sleep(ctx, callTime)
+		f.backoff.wait(ctx)
+	}
+}
+
 // setStoreUnavailable records whether the store is unavailable and wakes the
 // long polls of other daemons, which end when there are no updates to wait for.
 func (f *follower) setStoreUnavailable(unavailable bool) {
--- a/internal/sidecar/gossip.go
+++ b/internal/sidecar/gossip.go
@@ -74,6 +74,12 @@
 	// respond: how long ago, in milliseconds, the store responded to a reader from
 	// which it gets its rows directly or through others.
 	StoreAgeMS int64 `json:"store_age_ms,omitempty"`
+	// StoreResponds is true in a request of a daemon to which the store responds and that
+	// looked for it in place of a reader. Reading then tells whether it reads the store.
+	StoreResponds bool `json:"store_responds,omitempty"`
+	// ProbeStore, in the response of a reader that gets no updates, asks the receiver to
+	// call the store in place of the reader.
+	ProbeStore bool `json:"probe_store,omitempty"`
 	// knowledge is that of the sender of a response to a long poll; it is a header. It may
 	// be nil.
 	knowledge *peerKnowledge
@@ -286,6 +292,7 @@
 	}
 	longPoll := message.WaitMS > 0
 	if longPoll {
+		d.handleStoreContact(&message)
 		d.awaitNewerRows(r.Context(), &message)
 	}
 	var key responseKey
@@ -301,6 +308,9 @@
 		newer = append(d.tables.operators.rowsAfter(message.Operators.Version), d.tables.mesh.rowsAfter(message.Mesh.Version)...)
 		behind = response.Operators.Version < message.Operators.Version || response.Mesh.Version < message.Mesh.Version
 	})
+	if len(newer) == 0 && response.Reading && response.StoreUnavailable {
+		response.ProbeStore = d.probes.take(message.VM)
+	}
 	if len(newer) == 0 || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		response.addRows(newer)
 		writeJSON(w, &response)
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -16,10 +16,6 @@
 	// the first returns rows. A small VM takes about 50 ms to apply a large
 	// configuration.
 	longPollSpacing = 300 * time.Millisecond
-	// maxRelayedAge is the age of the store's last response up to which a reader gets
-	// updates through other readers. Each reader on the way adds up to the duration of
-	// a long poll.
-	maxRelayedAge = 2*longPollTimeout + longPollMargin
 	// readerCheckInterval is the interval at which a daemon that reads the store
 	// checks whether it still should.
 	readerCheckInterval = 250 * time.Millisecond
@@ -72,16 +68,19 @@
 func (d *Daemon) readStore(ctx context.Context, deadline time.Time, sources *sourceTracker) string {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
+	d.lostTables.reset()
 	d.reading.Store(true)
 	defer d.reading.Store(false)
+	defer d.substituting.Store(false)
 	d.logger.Info().Str("event", "rows-from").Str("source", "store").Msg("reading rows from the store")
 	var group sync.WaitGroup
 	// After a failed source there may be several newer versions of a configuration.
 	// A watch would return all of them, a list returns only the newest one.
 	list := time.Now().Before(deadline)
 	group.Go(func() { d.operatorFollower().run(watching, list) })
-	group.Go(func() { d.meshFollower().run(watching, list) })
+	group.Go(func() { d.meshFollower().run(watching, list && !d.substituting.Load()) })
 	group.Go(func() { d.pollNextReader(watching) })
+	group.Go(func() { d.announceSubstitute(watching) })
 	source := ""
 	for source == "" && ctx.Err() == nil {
 		sleep(ctx, readerCheckInterval)
@@ -94,8 +93,8 @@
 	return source
 }
 
-// pollNextReader polls the next reader while this daemon is a reader itself, so
-// that it gets updates even while the store does not respond to it.
+// pollNextReader polls the next reader, or a substitute, while this daemon is a reader
+// itself, so that it gets updates even while the store does not respond to it.
 func (d *Daemon) pollNextReader(ctx context.Context) {
 	for ctx.Err() == nil {
 		relay := d.relay.Load()
@@ -103,20 +102,33 @@
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
+		source := relay.Sources[0]
+		substitute, appointed := d.substitute.current()
+		if substitute != "" {
+			source = substitute
+		}
 		begin := time.Now()
-		response, err := d.pollSource(ctx, relay.Sources[0], longPollTimeout)
+		poll, cancel := contextUntil(ctx, appointed)
+		response, err := d.pollSource(poll, source, longPollTimeout)
+		canceled := poll.Err() != nil
+		cancel()
+		if err != nil && canceled {
+			continue
+		}
 		unavailable := err != nil || !response.Reading || response.StoreUnavailable
 		d.nextReaderUnavailable.Store(unavailable)
 		if err == nil {
 			age := time.Duration(response.StoreAgeMS) * time.Millisecond
 			d.relayedContact.Store(int64(time.Since(d.started) - age))
 		}
+		if substitute != "" && (unavailable || !d.storeUnavailable.Load()) {
+			d.substitute.dismiss(substitute)
+			continue
+		}
 		if unavailable {
-			if d.config.strict() && d.storeUnavailable.Load() {
-				// Spares read the store when it rejects all readers.
-				d.updatedSpare(ctx, relay)
-			}
-			sleep(ctx, longPollTimeout)
+			wait, cancel := contextUntil(ctx, appointed)
+			sleep(wait, longPollTimeout)
+			cancel()
 			continue
 		}
 		if response.hasRows() {
@@ -166,20 +178,29 @@
 // store nor from the next reader. The readers ask each other in a ring, so the next
 // one may get its updates from this daemon.
 func (d *Daemon) updatesUnavailable() bool {
-	return d.storeUnavailable.Load() && (d.nextReaderUnavailable.Load() || d.storeAge() > maxRelayedAge)
+	return d.storeUnavailable.Load() && (d.nextReaderUnavailable.Load() || d.storeAge() > d.maxRelayedAge())
+}
+
+// maxRelayedAge returns the age of the store's last response up to which a reader gets
+// updates through another one: what a watch without changes and a long poll take.
+func (d *Daemon) maxRelayedAge() time.Duration {
+	age := d.config.confirmationInterval(operatorWatchTimeout) + longPollTimeout
+	if d.config.strict() {
+		// Long polls end as soon as the knowledge of the daemon that holds them is newer.
+		return age
+	}
+	return age + longPollMargin
 }
 
 // storeAge returns how long ago the store responded to a reader from which this daemon
-// gets its rows. It is zero while the store responds to this daemon.
+// gets its rows. It is zero while the store responds to this daemon. The age counts from
+// the store, because a reader on the way may not yet have noticed that it gets no response.
 func (d *Daemon) storeAge() time.Duration {
 	if !d.storeUnavailable.Load() {
 		return 0
 	}
 	sinceStart := time.Since(d.started)
-	if d.config.strict() {
-		// A reader that has not yet noticed that its watch gets no response names no age.
-		// Its knowledge tells sooner.
-		return min(sinceStart, d.KnowledgeAge())
-	}
-	return sinceStart - time.Duration(d.relayedContact.Load())
+	// The knowledge is that of the operators' table only.
+	age := max(d.KnowledgeAge(), sinceStart-time.Duration(d.relayedContact.Load()))
+	return max(min(age, sinceStart), time.Millisecond)
 }
--- a/internal/sidecar/simulation_test.go
+++ b/internal/sidecar/simulation_test.go
@@ -25,8 +25,11 @@
 type vmFault struct {
 	name string
 	// unreachable makes connections to and from the VM hang, and refused makes them
-	// fail. storeUnreachable makes its calls to the store hang.
-	unreachable, refused, storeUnreachable bool
+	// fail. storeUnreachable makes its calls to the store hang, and storeRefused makes
+	// them fail, those that are pending at the time too.
+	unreachable, refused, storeUnreachable, storeRefused bool
+	// table, if set, limits the fault of the store to one of its tables.
+	table string
 	// delay is added to each message that the VM receives or sends.
 	delay time.Duration
 	// lasts is how long the fault lasts; zero means for good.
@@ -41,8 +44,9 @@
 	domain string
 	mu     sync.Mutex
 	fault  *vmFault
-	// repaired is closed when the fault ends.
-	repaired chan struct{}
+	// repaired is closed when the fault ends, and reset when the store resets the VM's
+	// connections.
+	repaired, reset chan struct{}
 	// suspended is the time for which the VM was suspended, and killed ends the daemon.
 	suspended atomic.Int64
 	kill      context.CancelFunc
@@ -54,6 +58,10 @@
 	defer vm.mu.Unlock()
 	repaired := make(chan struct{})
 	vm.fault, vm.repaired = f, repaired
+	if f.storeRefused {
+		close(vm.reset)
+		vm.reset = make(chan struct{})
+	}
 	if f.lasts == 0 {
 		return
 	}
@@ -73,14 +81,15 @@
 }
 
 // transfer waits as long as a message to or from the VM takes. It fails when ctx ends
-// or the VM refuses connections. store is true for a message to or from the store.
-func (vm *simulatedVM) transfer(ctx context.Context, store bool) error {
+// or the VM refuses connections. table is set for a message to or from the store.
+func (vm *simulatedVM) transfer(ctx context.Context, table string) error {
 	vm.mu.Lock()
 	f, repaired := vm.fault, vm.repaired
 	vm.mu.Unlock()
+	store := table != "" && f != nil && (f.table == "" || f.table == table)
 	switch {
 	case f == nil:
-	case f.refused:
+	case f.refused || f.storeRefused && store:
 		return fault.New(fault.Unavailable, "connection refused")
 	case f.unreachable || f.storeUnreachable && store:
 		select {
@@ -109,8 +118,9 @@
 	era uint64
 	// settings changes the configuration of each daemon; it may be nil.
 	settings func(*Config)
-	// reads counts the lists and watches that have reached the store.
-	reads int
+	// reads counts the lists and watches that have reached the store, and attempts all
+	// that daemons have begun.
+	reads, attempts int
 }
 
 const (
@@ -149,7 +159,7 @@
 }
 
 func (m *simulatedMesh) addVM(name, domain string) {
-	vm := &simulatedVM{mesh: m, name: name, domain: domain}
+	vm := &simulatedVM{mesh: m, name: name, domain: domain, reset: make(chan struct{})}
 	peer := name + ":1"
 	vm.create()
 	m.vms, m.addresses[peer] = append(m.vms, vm), vm
@@ -268,6 +278,13 @@
 	return m.reads
 }
 
+// storeAttempts returns the number of lists and watches that all daemons have begun.
+func (m *simulatedMesh) storeAttempts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.attempts
+}
+
 // RoundTrip implements http.RoundTripper for the requests of the VM's daemon to other
 // daemons.
 func (vm *simulatedVM) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -279,10 +296,10 @@
 	other := vm.mesh.addresses[r.URL.Host]
 	pass := func() error {
 		sleep(ctx, networkLatency)
-		if err := vm.transfer(ctx, false); err != nil {
+		if err := vm.transfer(ctx, ""); err != nil {
 			return err
 		}
-		return other.transfer(ctx, false)
+		return other.transfer(ctx, "")
 	}
 	if err := pass(); err != nil {
 		return nil, err
@@ -307,7 +324,13 @@
 	m := vm.mesh
 	ctx, cancel := context.WithTimeout(ctx, wait+storeCallMargin)
 	defer cancel()
-	if err := vm.transfer(ctx, true); err != nil {
+	m.mu.Lock()
+	m.attempts++
+	m.mu.Unlock()
+	vm.mu.Lock()
+	reset := vm.reset
+	vm.mu.Unlock()
+	if err := vm.transfer(ctx, table); err != nil {
 		return nil, 0, fault.Wrap(err, fault.Unavailable, "the store did not respond")
 	}
 	m.mu.Lock()
@@ -335,7 +358,7 @@
 			return nil, 0, fault.New(fault.Stale, "the store was restored")
 		}
 		if len(newer) > 0 || !waiting {
-			if err := vm.transfer(ctx, true); err != nil {
+			if err := vm.transfer(ctx, table); err != nil {
 				return nil, 0, fault.Wrap(err, fault.Unavailable, "the store did not respond")
 			}
 			return newer, version, nil
@@ -344,6 +367,8 @@
 		case <-changed:
 		case <-timeout.C:
 			waiting = false
+		case <-reset:
+			return nil, 0, fault.New(fault.Unavailable, "connection reset")
 		case <-ctx.Done():
 			return nil, 0, fault.Wrap(ctx.Err(), fault.Unavailable, "canceled")
 		}
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -34,11 +35,9 @@
 	// responds but does not provide updates. A source finds out within
 	// readerCheckInterval that it should be a reader, once it has the same rows.
 	unfitSourceQuarantine = time.Second
-	// probeInterval is the interval at which a spare calls the store itself while its
-	// reader reports that the store is unavailable, and spareInterval that at which the
-	// other daemons ask the spares whether a call has succeeded.
+	// probeInterval is the interval at which the daemons of a failure domain together call
+	// the store without being asked while their readers report that it is unavailable.
 	probeInterval = 4 * time.Second
-	spareInterval = 500 * time.Millisecond
 )
 
 // Reasons for leaving a source, or for not following it.
@@ -115,6 +114,8 @@
 	var message gossipMessage
 	d.loop.call(func(time.Time) { message = d.completeDigest() })
 	message.WaitMS = wait.Milliseconds()
+	message.Reading = d.reading.Load()
+	message.StoreResponds = d.substituting.Load() && !d.storeUnavailable.Load()
 	began := d.knowledge.Now()
 	response, err := d.sendGossip(ctx, d.longPollClient, address, message, watchdog)
 	if err != nil {
@@ -253,7 +254,7 @@
 func (d *Daemon) followSources(ctx context.Context, source string, sources *sourceTracker) time.Duration {
 	d.logSource(source)
 	d.storeUnavailable.Store(false)
-	lastProbe := time.Now()
+	var nextProbe time.Time
 	for ctx.Err() == nil {
 		relay := d.relay.Load()
 		if relay.Reader || !slices.Contains(slices.Concat(relay.Sources, relay.Spares), source) {
@@ -278,42 +279,30 @@
 		}
 		d.storeUnavailable.Store(response.StoreUnavailable)
 		if !response.StoreUnavailable {
+			nextProbe = time.Time{}
 			if response.hasRows() {
 				sleep(ctx, time.Until(begin.Add(longPollSpacing)))
 			}
 			continue
 		}
-		// The store is most likely down for all daemons. An occasional call detects
-		// a store that rejects only the reader's calls.
-		switch {
-		case !relay.ProbesStore() && time.Since(lastProbe) >= spareInterval:
-			lastProbe = time.Now()
-			if spare := d.updatedSpare(ctx, relay); spare != "" && spare != source {
-				source = spare
-				d.logSource(source)
-			}
-		case relay.ProbesStore() && time.Since(lastProbe) >= d.config.confirmationInterval(probeInterval):
-			if _, err := d.list(ctx, causeProbe, d.config.Operators.Table()); err == nil {
-				d.rejectSource(sources, source, errReaderRejected)
-				return directReadPeriod
-			}
-			lastProbe = time.Now()
+		// The store is most likely down for all daemons, but it may reject only the
+		// reader's calls. Without being asked, the daemons call it in a random order.
+		interval := time.Duration(max(relay.Followers, 1)) * probeInterval
+		if nextProbe.IsZero() {
+			nextProbe = time.Now().Add(interval/2 + rand.N(interval))
+		}
+		due := !time.Now().Before(nextProbe)
+		if due {
+			nextProbe = time.Now().Add(interval)
+		}
+		if (response.ProbeStore || due) && d.probeForReader(ctx, source) {
+			return readerCheckInterval
 		}
 		sleep(ctx, longPollSpacing)
 	}
 	return 0
 }
 
-// updatedSpare returns the address of a spare to which the store responds, or "".
-func (d *Daemon) updatedSpare(ctx context.Context, relay *mesh.Relay) string {
-	for _, spare := range relay.Spares {
-		if response, err := d.pollSource(ctx, spare, confirmationWait); err == nil && response.Reading && !response.StoreUnavailable {
-			return spare
-		}
-	}
-	return ""
-}
-
 // logSource logs the daemon from which rows are read.
 func (d *Daemon) logSource(source string) {
 	d.logger.Info().Str("event", "rows-from").Str("source", source).Msg("reading rows from another daemon")
@@ -356,7 +345,8 @@
 	if d.storeUnavailable.Load() {
 		return nil
 	}
-	if response.StoreUnavailable {
+	// A reader that the store rejects may get its rows from this daemon.
+	if response.StoreUnavailable || d.substituting.Load() && response.StoreAgeMS > 0 {
 		return errReaderRejected
 	}
 	behind := false
--- a/internal/sidecar/sources_test.go
+++ b/internal/sidecar/sources_test.go
@@ -103,7 +103,6 @@
 // for up to date, so that the other daemons never called the store themselves. The
 // platform allows 5 s more while the store turns machines away.
 func TestRowsFollowWhenTheStoreTurnsAllReadersAway(t *testing.T) {
-	const maxStretch = 5 * time.Second
 	for _, domains := range []int{1, 2} {
 		for at := time.Duration(0); at < 9*time.Second; at += 700 * time.Millisecond {
 			f := vmFault{storeUnreachable: true}
