Refuse heartbeats with missing fields or fields of another type

Cause: missing fields were taken for zero, so the heartbeat seemed to be of another run of the target.

Change: all nine fields are required, by their exact names, with their types and within their ranges. A heartbeat without cold_remaining, which used to mean that it is not known, is refused too; its spec now requires that.

--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -56,7 +56,7 @@
 	case firstOfRun && b.ColdRemaining == 0:
 		d.inbound.ForgetCold()
 		d.startColdChecks(nil)
-	case !b.ColdUnknown:
+	default:
 		d.inbound.ReportCold(b.ColdRemaining)
 	}
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -9,7 +9,8 @@
 // Heartbeat is a state report of the target on the VM.
 type Heartbeat struct {
 	// Instance is the name of the target's run. StartUnixMS is its start in Unix
-	// milliseconds of the target's own clock, or zero when it is not known.
+	// milliseconds of the target's own clock, or zero when it is not known: the record of
+	// an earlier start of the daemon does not tell it.
 	Instance    string
 	StartUnixMS int64
 	// Sequence increases with each heartbeat of a run.
@@ -20,8 +21,6 @@
 	Draining bool
 	// ColdRemaining is how long the target will still run slowly after its start.
 	ColdRemaining time.Duration
-	// ColdUnknown is true when the target does not say whether it is cold.
-	ColdUnknown bool
 }
 
 // targetRun identifies one run of a target. Instance names may be reused.
