Refuse target rows with missing fields, restore rows that others replaced

A target's row, or a record from a peer, without incarnation, sequence, failure domain, peer address or slots was taken for a target. And a row of another writer in place of a target's row stayed until the target's next change, so daemons that started later did not know the target.

Change: such records are refused, and the daemon beside the target writes its row again when it cannot be decoded. Records of daemons have always had these fields. Specs whose records lacked them have complete ones now; those of restore_left_test.go count their sequences from there.

--- a/internal/mesh/evacuation_test.go
+++ b/internal/mesh/evacuation_test.go
@@ -16,7 +16,7 @@
 var _ = Describe("an evacuated failure domain", func() {
 	var n *mesh.Node
 	record := func(vm, domain string) *mesh.TargetRecord {
-		return &mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Domain: domain, Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 4}
+		return &mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: "ready", Domain: domain, Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 4}
 	}
 	targets := func() (vms []string) {
 		for _, e := range n.Routing().Endpoints {
--- a/internal/mesh/fuzz_test.go
+++ b/internal/mesh/fuzz_test.go
@@ -21,7 +21,7 @@
 	n.SetConfiguration(configuration(1))
 	var changes []rows.Change
 	for vm, running := range map[string]string{"vm0": "v1", "vm1": "v2"} {
-		record := mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: running, Instance: "i", Slots: 10}
+		record := mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: running, Instance: "i", Slots: 10}
 		row := record.Row()
 		row.Version = 1
 		changes = append(changes, rows.Change{Row: row})
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -28,7 +28,7 @@
 	It("sends traffic only to the baseline while no move is open", func() {
 		f := newFleet(map[string]string{"vm0": "v1", "vm1": "v1"})
 		f.run(time.Second)
-		early := mesh.TargetRecord{VM: "vm9", State: "ready", Inbound: "10.0.0.9:1", Service: "order", Version: "v2", Slots: 10}
+		early := mesh.TargetRecord{VM: "vm9", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.9:1", Peer: "10.0.0.1:2", Service: "order", Version: "v2", Slots: 10}
 		f.put(early.Row())
 		f.run(5 * time.Second)
 		service := f.nodes["vm0"].Routing().State.Services["order"]
@@ -44,7 +44,7 @@
 			n := mesh.NewNode(mesh.Self{VM: fmt.Sprintf("vm%d", i)})
 			n.SetConfiguration(configuration(1))
 			for j := range daemons {
-				n.MergeTarget(start, &mesh.TargetRecord{VM: fmt.Sprintf("vm%d", j), Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1"})
+				n.MergeTarget(start, &mesh.TargetRecord{VM: fmt.Sprintf("vm%d", j), Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10})
 			}
 			nodes = append(nodes, n)
 		}
@@ -65,7 +65,7 @@
 	It("skips rows that cannot be decoded and applies the others", func() {
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
 		n.SetConfiguration(configuration(1))
-		good := mesh.TargetRecord{VM: "vm1", State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		good := mesh.TargetRecord{VM: "vm1", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		key := func(name string) rows.Key { return rows.Key{Table: mesh.Table, Name: name} }
 		failures := n.Reset(start, []rows.Row{
 			good.Row(),
@@ -85,7 +85,7 @@
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
 		n.SetConfiguration(configuration(1))
 		record := func(incarnation, sequence uint64, state string) *mesh.TargetRecord {
-			return &mesh.TargetRecord{VM: "vm1", Incarnation: incarnation, Sequence: sequence, State: state, Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+			return &mesh.TargetRecord{VM: "vm1", Incarnation: incarnation, Sequence: sequence, State: state, Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		}
 		stateOf := func() string { return n.Routing().Endpoints[0].State.String() }
 		row := record(1, 1, "ready").Row()
@@ -155,7 +155,7 @@
 	// second, in addition to the requests for its own target.
 	It("elects a leader with a fast link", func() {
 		for _, vm := range []string{"vm1", "vm3"} {
-			fast := mesh.TargetRecord{VM: vm, Incarnation: 2, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: "v1", Instance: "i", Slots: 10, LinkRate: 25_000_000}
+			fast := mesh.TargetRecord{VM: vm, Incarnation: 2, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: "v1", Instance: "i", Slots: 10, LinkRate: 25_000_000}
 			if vm == "vm3" {
 				fast.Version = "v2"
 			}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -189,6 +189,11 @@
 	if r.Service != "" && (!printableName.MatchString(r.Service) || !printableName.MatchString(r.Version)) {
 		return fault.New(fault.Invalid, "the target record of VM %q has an invalid name in service %.200q, version %.200q", r.VM, r.Service, r.Version)
 	}
+	// Daemons write all of these fields. A record without one is of another writer.
+	if r.Incarnation == 0 || r.Sequence == 0 || r.Domain == "" || r.Peer == "" || r.Service != "" && r.Slots == 0 {
+		return fault.New(fault.Invalid, "the target record of VM %q is incomplete: incarnation %d, sequence %d, domain %.200q, peer %.200q, service %.200q, %d slots",
+			r.VM, r.Incarnation, r.Sequence, r.Domain, r.Peer, r.Service, r.Slots)
+	}
 	if stateByName[r.State] == 0 {
 		return fault.New(fault.Invalid, "the target record of VM %q has the unknown state %.200q", r.VM, r.State)
 	}
--- a/internal/mesh/restore_left_test.go
+++ b/internal/mesh/restore_left_test.go
@@ -19,7 +19,7 @@
 	})
 	// leave ends the daemon of the VM, whose last record has the state.
 	leave := func(vm, state string) {
-		record := mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: state, Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: "v1", Instance: "i", Slots: 10}
+		record := mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 2, State: state, Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: "v1", Instance: "i", Slots: 10}
 		f.put(record.Row())
 		f.partitioned[vm] = true
 	}
@@ -95,7 +95,7 @@
 		leave("vm4", "draining")
 		delete(f.partitioned, "vm4")
 		f.restore(before)
-		again := mesh.TargetRecord{VM: "vm4", Era: f.era, Incarnation: 2, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "vm4", Service: "order", Version: "v1", Instance: "j", Slots: 10}
+		again := mesh.TargetRecord{VM: "vm4", Era: f.era, Incarnation: 2, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "vm4", Service: "order", Version: "v1", Instance: "j", Slots: 10}
 		f.run(time.Second)
 		f.put(again.Row())
 		f.writes = 0
@@ -110,7 +110,7 @@
 		before := f.backup()
 		f.restore(before)
 		f.run(10 * time.Second)
-		record := mesh.TargetRecord{VM: "vm4", Era: f.era, Incarnation: 1, Sequence: 2, State: "draining", Inbound: "10.0.0.1:1", Service: "order", Version: "v1"}
+		record := mesh.TargetRecord{VM: "vm4", Era: f.era, Incarnation: 1, Sequence: 3, State: "draining", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		for vm, n := range f.nodes {
 			n.MergeTarget(f.now, &record)
 			f.reset(vm)
@@ -150,7 +150,7 @@
 		leave("vm3", "gone")
 		leave("vm4", "gone")
 		f.restore(before)
-		again := mesh.TargetRecord{VM: "vm3", Era: f.era, Incarnation: 2, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "vm3", Service: "order", Version: "v1", Instance: "j", Slots: 10}
+		again := mesh.TargetRecord{VM: "vm3", Era: f.era, Incarnation: 2, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "vm3", Service: "order", Version: "v1", Instance: "j", Slots: 10}
 		row := again.Row()
 		f.version++
 		row.Version = f.version
@@ -165,11 +165,11 @@
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
 		var ready, left []rows.Row
 		for i := range 100 {
-			record := mesh.TargetRecord{VM: fmt.Sprintf("old%d", i), Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
+			record := mesh.TargetRecord{VM: fmt.Sprintf("old%d", i), Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2"}
 			row := record.Row()
 			row.Version = rows.Version(1, uint64(i+1))
 			ready = append(ready, row)
-			record.Sequence, record.State = 1, "gone"
+			record.Sequence, record.State = 2, "gone"
 			row = record.Row()
 			row.Version = uint64(200 + i)
 			left = append(left, row)
--- a/internal/mesh/restore_order_test.go
+++ b/internal/mesh/restore_order_test.go
@@ -116,7 +116,7 @@
 	It("keep a target whose daemon has noticed the restore first", func() {
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
 		n.SetConfiguration(configuration(1))
-		known := &mesh.TargetRecord{VM: "vm1", Incarnation: 1, Sequence: 1, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		known := &mesh.TargetRecord{VM: "vm1", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		row := known.Row()
 		row.Version = 5
 		Expect(n.Reset(start, []rows.Row{row})).To(BeEmpty())
@@ -133,7 +133,7 @@
 	It("do not make a new target warm", func() {
 		n := mesh.NewNode(mesh.Self{VM: "vm0"})
 		n.SetConfiguration(configuration(1))
-		record := mesh.TargetRecord{VM: "vm1", Incarnation: 7, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		record := mesh.TargetRecord{VM: "vm1", Incarnation: 7, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		row := record.Row()
 		row.Version = 5
 		Expect(n.Reset(start, []rows.Row{row})).To(BeEmpty())
--- a/internal/mesh/restore_rank_test.go
+++ b/internal/mesh/restore_rank_test.go
@@ -32,7 +32,7 @@
 	m := &restoredMesh{now: start}
 	var targets, restored []rows.Row
 	for i := range daemons {
-		record := &mesh.TargetRecord{VM: fmt.Sprintf("vm%d", i), Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10}
+		record := &mesh.TargetRecord{VM: fmt.Sprintf("vm%d", i), Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10}
 		row := record.Row()
 		row.Version = uint64(i + 1)
 		targets = append(targets, row)
--- a/internal/mesh/restore_test.go
+++ b/internal/mesh/restore_test.go
@@ -176,7 +176,7 @@
 var _ = Describe("rows after a restore of the store", func() {
 	var n *mesh.Node
 	record := func(vm string, era, incarnation, sequence uint64, state string) *mesh.TargetRecord {
-		return &mesh.TargetRecord{VM: vm, Era: era, Incarnation: incarnation, Sequence: sequence, State: state, Inbound: "10.0.0.1:1", Service: "order", Version: "v1", Slots: 10, ColdMS: 1000}
+		return &mesh.TargetRecord{VM: vm, Era: era, Incarnation: incarnation, Sequence: sequence, State: state, Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "order", Version: "v1", Slots: 10, ColdMS: 1000}
 	}
 	row := func(r *mesh.TargetRecord, version uint64) rows.Row {
 		row := r.Row()
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -55,7 +55,7 @@
 		f.vms = append(f.vms, vm)
 		f.startNode(vm, uint64(i+1))
 		f.nodes[vm].SetConfiguration(config)
-		record := mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: targets[vm], Instance: "i", Slots: 10}
+		record := mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: vm, Service: "order", Version: targets[vm], Instance: "i", Slots: 10}
 		f.put(record.Row())
 	}
 	return f
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -44,7 +44,7 @@
 		cancel()
 		<-d.loop.done
 	})
-	record := &mesh.TargetRecord{VM: "b", Incarnation: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Service: "s", Version: "v1", Slots: 4}
+	record := &mesh.TargetRecord{VM: "b", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "s", Version: "v1", Slots: 4}
 	row := record.Row()
 	row.Version = 2
 	meshRows := []rows.Row{row, {Key: rows.Key{Table: mesh.Table, Name: "baseline/s"}, Value: []byte(`{"version":"v1"}`), Version: 3}}
--- a/internal/sidecar/lost_state_test.go
+++ b/internal/sidecar/lost_state_test.go
@@ -30,7 +30,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
-			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Peer: listener.Addr().String()}
+			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: listener.Addr().String()}
 			snapshot.Rows = append(snapshot.Rows, record.Row())
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -51,10 +51,10 @@
 		DeferCleanup(silent.Close)
 		snapshot := rows.Snapshot{Version: rows.Version(1, 9)}
 		for vm, address := range map[string]string{"b": peer.Listener.Addr().String(), "c": silent.Addr().String()} {
-			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Peer: address}
+			record := &mesh.TargetRecord{VM: vm, Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: address}
 			snapshot.Rows = append(snapshot.Rows, record.Row())
 		}
-		left := &mesh.TargetRecord{VM: "d", Incarnation: 1, State: "draining", Inbound: "10.0.0.1:1", Peer: "127.0.0.1:9"}
+		left := &mesh.TargetRecord{VM: "d", Incarnation: 1, Sequence: 1, State: "draining", Domain: "a", Inbound: "10.0.0.1:1", Peer: "127.0.0.1:9"}
 		snapshot.Rows = append(snapshot.Rows, left.Row())
 		Expect(d.listedPeers(snapshot)).To(HaveLen(2))
 		ctx, cancel := context.WithCancel(context.Background())
@@ -72,7 +72,7 @@
 		var requests atomic.Int64
 		peer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
 		DeferCleanup(peer.Close)
-		record := &mesh.TargetRecord{VM: "b", Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1", Peer: peer.Listener.Addr().String()}
+		record := &mesh.TargetRecord{VM: "b", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: peer.Listener.Addr().String()}
 		snapshot := rows.Snapshot{Version: rows.Version(1, 9), Rows: []rows.Row{record.Row()}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/sidecar/restore_rows_test.go
+++ b/internal/sidecar/restore_rows_test.go
@@ -22,7 +22,7 @@
 	// Guards against a row that stays lost because it was written before the first
 	// list of the mesh table, as at a first start.
 	It("is missing when it was written before the first list", func() {
-		record := &mesh.TargetRecord{VM: "a", Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
+		record := &mesh.TargetRecord{VM: "a", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2"}
 		d.targetRow.recordWritten(record, rows.Version(0, 8))
 		d.enterEra(time.Now(), rows.Version(1, 3))
 		Expect(d.targetRow.stored).To(BeNil())
@@ -34,7 +34,7 @@
 	// record of its daemon's earlier start has a later era.
 	It("publishes a record that replaces the one of its earlier start", func() {
 		d := New(Config{VM: "a", Service: "s", Store: newRestoredStore(), Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
-		earlier := &mesh.TargetRecord{VM: "a", Era: 1, Incarnation: 7, Sequence: 3, State: "gone", Inbound: "10.0.0.1:1", Service: "s", Version: "v1", Slots: 1}
+		earlier := &mesh.TargetRecord{VM: "a", Era: 1, Incarnation: 7, Sequence: 3, State: "gone", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "s", Version: "v1", Slots: 1}
 		row := earlier.Row()
 		row.Version = rows.Version(1, 9)
 		newRows := toWireRows([]rows.Row{row})
@@ -63,7 +63,7 @@
 	It("removes no rows from the copy that other daemons are served", func() {
 		store := newRestoredStore()
 		d := New(Config{VM: "a", Store: store, Operators: versionedOperators{}, Inbound: "10.0.0.1:1", Logger: logging.Discard().Component("test")})
-		record := &mesh.TargetRecord{VM: "b", Era: 1, Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
+		record := &mesh.TargetRecord{VM: "b", Era: 1, Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2"}
 		row := record.Row()
 		row.Version = rows.Version(1, 5)
 		d.tables.mesh.merge([]rows.Row{row})
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -189,7 +189,7 @@
 	// stored, also when the response of an earlier write arrives late.
 	It("makes the row of the target missing unless it was observed since", func() {
 		w := newTargetRowWriter(newDaemon(newRestoredStore()))
-		record := &mesh.TargetRecord{VM: "a", Incarnation: 1, State: "ready", Inbound: "10.0.0.1:1"}
+		record := &mesh.TargetRecord{VM: "a", Incarnation: 1, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2"}
 		w.recordWritten(record, rows.Version(0, 8))
 		w.enterEra(1)
 		w.recordWritten(record, rows.Version(0, 9))
--- a/internal/sidecar/target_row.go
+++ b/internal/sidecar/target_row.go
@@ -58,7 +58,9 @@
 	w.storedVersion = row.Version
 	record, err := mesh.DecodeTarget(row)
 	if err != nil {
+		// Another writer has replaced the row, which is written again.
 		record = nil
+		w.signal()
 	}
 	w.stored = record
 	if record != nil && !w.meshLoaded {
@@ -119,6 +121,11 @@
 	record.Sequence = w.sequence
 	w.desired = record
 	w.mu.Unlock()
+	w.signal()
+}
+
+// signal lets run compare the stored record with the desired one.
+func (w *targetRowWriter) signal() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -146,7 +153,7 @@
 func (w *targetRowWriter) write(ctx context.Context) bool {
 	w.mu.Lock()
 	record, version := w.desired, w.storedVersion
-	current := w.stored != nil && sameRecord(w.stored, record)
+	current := record == nil || w.stored != nil && sameRecord(w.stored, record)
 	if !current {
 		record = stateAtWrite(record, w.stored, w.d.storeClock())
 		w.desired, w.sequence = record, record.Sequence
--- a/internal/sidecar/tenants_test.go
+++ b/internal/sidecar/tenants_test.go
@@ -39,7 +39,7 @@
 		d.applyOperatorRow(rows.Row{Key: rows.Key{Table: "operators", Name: "config"}})
 		d.confirmKnowledge(now)
 		// Another change of the mesh.
-		d.node.MergeTarget(time.Now(), &mesh.TargetRecord{VM: "b", Incarnation: version, State: "ready", Inbound: "10.0.0.2:1", Peer: "10.0.0.2:2"})
+		d.node.MergeTarget(time.Now(), &mesh.TargetRecord{VM: "b", Incarnation: version, Sequence: 1, State: "ready", Domain: "a", Inbound: "10.0.0.2:1", Peer: "10.0.0.2:2"})
 		d.publish()
 	}
 	send := func(key string) {
