Let only a daemon that the store serves for both tables be a substitute

TestRowsFollowWhenTheStoreRejectsOneTable failed in about one of three runs: a daemon probes the operators' table only, so one for which the store does not respond with the mesh table could become a substitute. Trace: vm14, rejected for that table, substituted for vm0 and vm8, and no daemon of its domain got a target's row within 7 s.

A substitute also logged "source-lost" four times a second, since its readers are not fit while the store rejects them. It does not log that any more.

--- a/internal/sidecar/rejections_test.go
+++ b/internal/sidecar/rejections_test.go
@@ -116,7 +116,8 @@
 }
 
 // Guards against daemons that miss rows of the mesh table because the store rejects only the
-// calls of their readers for that table.
+// calls of their readers for that table, and against a substitute that it rejects in the same
+// way.
 func TestRowsFollowWhenTheStoreRejectsOneTable(t *testing.T) {
 	for _, rejection := range rejections {
 		rejection.table = mesh.Table
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -326,7 +326,12 @@
 		err = d.checkSource(response)
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+		case d.substituting.Load():
+			// No source is expected to be fit until the store serves a reader.
+			sources.quarantine(time.Now(), source, unfitSourceQuarantine)
+		default:
 			d.rejectSource(sources, source, err)
 		}
 		return ""
--- a/internal/sidecar/substitute.go
+++ b/internal/sidecar/substitute.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/magnoliamount/magnoliamount/internal/mesh"
 )
 
 // delegatedProbes hands calls to the store from a reader that gets no updates to the
@@ -161,6 +163,11 @@
 			return false
 		}
 	}
+	// The store may reject the calls for one table only.
+	if _, err := d.list(ctx, causeProbe, mesh.Table); err != nil {
+		d.substituting.Store(false)
+		return false
+	}
 	d.logger.Info().Str("event", "substitute-reader").Str("reader", reader).Msg("the store responds to this daemon but rejects the reader; reading the store in its place")
 	return true
 }
