--- a/internal/sidecar/substitute.go
+++ b/internal/sidecar/substitute.go
@@ -18,8 +18,8 @@
 	offered bool
 	// taken counts the calls that were handed over.
 	taken int
-	// delegates are the VMs that have made a call. Each gets its turn before one of them
-	// gets a second one.
+	// delegates are the VMs that have taken an offer. None takes a second one before the
+	// others that poll have taken one.
 	delegates map[string]bool
 }
 
@@ -70,7 +70,7 @@
 type substituteReader struct {
 	mu      sync.Mutex
 	address string
-	// appointed is closed and replaced when a substitute takes office.
+	// appointed is closed and replaced when a daemon becomes the substitute.
 	appointed chan struct{}
 }
 
@@ -128,9 +128,9 @@
 	}
 }
 
-// handleStoreContact uses the statement of a daemon that the store responds to it. A
-// reader that the store rejects calls it again at once, and follows a sender that reads
-// the store.
+// handleStoreContact handles a message whose sender may get responses of the store. If it
+// does, a reader that the store rejects calls the store again at once, or follows the sender
+// if that reads the store.
 func (d *Daemon) handleStoreContact(message *gossipMessage) {
 	if !message.StoreResponds || !d.reading.Load() || !d.storeUnavailable.Load() {
 		return
