--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -289,7 +289,7 @@
 		// reader's calls. Without being asked, the daemons call it in a random order.
 		interval := time.Duration(max(relay.Followers, 1)) * probeInterval
 		if nextProbe.IsZero() {
-			nextProbe = time.Now().Add(interval/2 + rand.N(interval))
+			nextProbe = time.Now().Add(interval*3/5 + rand.N(interval*7/10))
 		}
 		due := !time.Now().Before(nextProbe)
 		if due {
