--- a/review/rig3/blind_judge.go
+++ b/review/rig3/blind_judge.go
@@ -32,13 +32,13 @@
 	d.store.put("op", "config", config(7, host, []string{"orders"},
 		route("r-place", "/place/", "unsafe", "orders", "1200ms", "500ms", 1, 2),
 		route("r-look", "/look/", "safe", "orders", "1000ms", "400ms", 2, 2)))
-	const work = 20 * time.Millisecond
+	const shortWork = 20 * time.Millisecond
 	for i, m := range d.machines {
 		if err := d.startDaemon(m); err != nil {
 			return couldNot, err
 		}
 		if i < 6 {
-			if _, err := d.newServer(m, fmt.Sprintf("i-old-%d", i+1), "v1", 9, work); err != nil {
+			if _, err := d.newServer(m, fmt.Sprintf("i-old-%d", i+1), "v1", 9, shortWork); err != nil {
 				return couldNot, err
 			}
 		}
@@ -56,7 +56,7 @@
 	defer c.group.Wait()
 	defer close(stop)
 	for i, m := range d.machines[6:] {
-		if _, err := d.newServer(m, fmt.Sprintf("i-bad-%d", i+1), "v2", 9, work); err != nil {
+		if _, err := d.newServer(m, fmt.Sprintf("i-bad-%d", i+1), "v2", 9, shortWork); err != nil {
 			return couldNot, err
 		}
 	}
@@ -74,7 +74,7 @@
 		for i := 0; time.Now().Before(end); i++ {
 			flapping.server.end()
 			time.Sleep(flapPeriod / 2)
-			s, err := d.newServer(flapping, fmt.Sprintf("i-bad-2-%d", i), "v2", 9, work)
+			s, err := d.newServer(flapping, fmt.Sprintf("i-bad-2-%d", i), "v2", 9, shortWork)
 			if err != nil {
 				return couldNot, err
 			}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -28,6 +28,7 @@
 	"encoded-slash":  encodedSlash,
 	"stale-home":     staleHome,
 	"stale-leader":   staleLeader,
+	"same-name":      sameName,
 	"blind-judge":    blindJudge,
 }
 
--- a/review/rig3/stale_leader.go
+++ b/review/rig3/stale_leader.go
@@ -13,6 +13,7 @@
 	goodMove        = 12 * time.Second
 	badMove         = 16 * time.Second
 	lostAnswersTime = 3 * time.Second
+	work            = 160 * time.Millisecond
 	exposureShare   = 0.1
 	exposureSlack   = 50
 )
@@ -44,7 +45,7 @@
 			return couldNot, err
 		}
 		if i < 4 {
-			if _, err := d.newServer(m, fmt.Sprintf("i-old-%d", i+1), "v1", 9, 60*time.Millisecond); err != nil {
+			if _, err := d.newServer(m, fmt.Sprintf("i-old-%d", i+1), "v1", 9, work); err != nil {
 				return couldNot, err
 			}
 		}
@@ -56,13 +57,13 @@
 	c := newClients(d.rec)
 	stop := make(chan struct{})
 	for _, m := range d.machines {
-		c.stream(m, host, http.MethodPost, func(i int) string { return fmt.Sprintf("/place/%d", i) }, 1200*time.Millisecond, 100*time.Millisecond, stop)
-		c.stream(m, host, http.MethodGet, func(i int) string { return fmt.Sprintf("/look/%d", i) }, time.Second, 100*time.Millisecond, stop)
+		c.stream(m, host, http.MethodPost, func(i int) string { return fmt.Sprintf("/place/%d", i) }, 1200*time.Millisecond, 140*time.Millisecond, stop)
+		c.stream(m, host, http.MethodGet, func(i int) string { return fmt.Sprintf("/look/%d", i) }, time.Second, 140*time.Millisecond, stop)
 	}
 	defer c.group.Wait()
 	defer close(stop)
 	for i, m := range d.machines[4:] {
-		if _, err := d.newServer(m, fmt.Sprintf("i-good-%d", i+1), "v2", 9, 60*time.Millisecond); err != nil {
+		if _, err := d.newServer(m, fmt.Sprintf("i-good-%d", i+1), "v2", 9, work); err != nil {
 			return couldNot, err
 		}
 	}
@@ -76,7 +77,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	for i, m := range d.machines[:4] {
-		s, err := d.newServer(m, fmt.Sprintf("i-bad-%d", i+1), "v3", 9, 60*time.Millisecond)
+		s, err := d.newServer(m, fmt.Sprintf("i-bad-%d", i+1), "v3", 9, work)
 		if err != nil {
 			return couldNot, err
 		}
@@ -92,8 +93,15 @@
 		time.Sleep(lostAnswersTime)
 		d.store.loseEveryThirdAnswer(false)
 	}()
+	state := d.awaitMove("v3", badMove)
+	ended := time.Since(ordered)
+	if state == "completed" {
+		// The old servers stop immediately, without draining.
+		for _, m := range d.machines[4:] {
+			m.server.end()
+		}
+	}
 	time.Sleep(time.Until(ordered.Add(badMove)))
-	state := d.moveState("v3")
 
 	// Judged are only requests that were sent when all machines are in touch: contact after
 	// the end of the store's disruption.
@@ -102,13 +110,19 @@
 	for _, s := range c.list() {
 		at[s.id] = s
 	}
-	all, exposed, total := 0, 0, 0
+	all, exposed, total, cut, cutUnsafe := 0, 0, 0, 0, 0
 	for _, r := range d.runs.list() {
 		s, ok := at[r.id]
 		if !ok || s.at.Before(ordered) || s.at.After(deadline) {
 			continue
 		}
 		all++
+		if r.cut {
+			cut++
+			if r.method == http.MethodPost {
+				cutUnsafe++
+			}
+		}
 		if !strings.HasPrefix(r.instance, "i-bad-") {
 			continue
 		}
@@ -118,7 +132,8 @@
 		}
 	}
 	bound := exposureShare*float64(all) + exposureSlack
-	d.rec.result("status of the bad version %s after its order: %q", badMove, state)
+	d.rec.result("status of the bad version %.1f s after its order: %q", ended.Seconds(), state)
+	d.rec.result("requests that the old servers were at work on when they were stopped: %d, unsafe ones %d", cut, cutUnsafe)
 	d.rec.result("requests of the service between the order and its deadline: %d; at the bad version: %d, sent by machines in touch: %d; allowed: %.0f", all, total, exposed, bound)
 	if float64(exposed) > bound {
 		return broken, nil
