--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/rig3 ] && [ -x target/magnoliamount-sidecar ] || exit 2
-exec target/rig3 stale-home "$PWD" "$folder"
+exec target/rig3 blind-judge "$PWD" "$folder"
