--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -28,6 +28,7 @@
 	"encoded-slash":  encodedSlash,
 	"stale-home":     staleHome,
 	"stale-leader":   staleLeader,
+	"white-space":    whiteSpace,
 	"same-name":      sameName,
 	"blind-judge":    blindJudge,
 }
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -59,6 +59,8 @@
 	stop    chan struct{}
 	// loseAnswer, if set, decides whether the answer of a request that has run is lost.
 	loseAnswer func(id string) bool
+	// spoil, if set, returns the bytes that are sent in place of an answer, or nil.
+	spoil func(id, body string) []byte
 	// fails makes every second answer a failure.
 	fails bool
 	done  int
@@ -186,6 +188,13 @@
 	s.loseAnswer = lose
 }
 
+// setSpoil sets which answers are spoilt from now on.
+func (s *appServer) setSpoil(spoil func(id, body string) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoil = spoil
+}
+
 // setFails sets whether every second answer is a failure.
 func (s *appServer) setFails(fails bool) {
 	s.mu.Lock()
@@ -280,6 +289,20 @@
 		}
 		return
 	}
+	body := s.name + " " + r.Method + " " + r.RequestURI + "\n"
+	s.mu.Lock()
+	spoil := s.spoil
+	s.mu.Unlock()
+	if spoil != nil {
+		if raw := spoil(id, body); raw != nil {
+			s.rec.line("server %s: has run %s, sends %q and closes", s.name, id, raw)
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = conn.Write(raw)
+				_ = conn.Close()
+			}
+			return
+		}
+	}
 	w.Header().Set(signature, "s."+id)
 	s.mu.Lock()
 	s.done++
@@ -288,7 +311,7 @@
 	if failed {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = io.WriteString(w, s.name+" "+r.Method+" "+r.RequestURI+"\n")
+	_, _ = io.WriteString(w, body)
 }
 
 func (s *appServer) count(field *int, change int) {
