--- a/review/rig3/deploy.go
+++ b/review/rig3/deploy.go
@@ -157,23 +157,6 @@
 	return nil
 }
 
-// signal sends a signal to the daemon of the machine.
-func (d *deployment) signal(m *machine, s syscall.Signal) {
-	d.rec.line("machine %s: daemon gets %s", m.name, s)
-	_ = m.process.Process.Signal(s)
-}
-
-// restart kills the daemon and starts it again after the pause.
-func (d *deployment) restart(m *machine, pause time.Duration) error {
-	d.signal(m, syscall.SIGKILL)
-	<-m.exited
-	time.Sleep(pause)
-	if err := d.writeSettings(m, false); err != nil {
-		return err
-	}
-	return d.startDaemon(m)
-}
-
 // newServer starts a run of the machine's server.
 func (d *deployment) newServer(m *machine, instance, version string, slots int, work time.Duration) (*appServer, error) {
 	s, err := startServer(serverOptions{
