--- a/review/rig3/encoded_slash.go
+++ b/review/rig3/encoded_slash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"net/http"
 	"time"
 )
@@ -35,17 +34,18 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
-		// Three of five servers lose the answers of 0.4 of their requests, for 4 s.
+		// Three of five servers lose the answers of 0.4 of their requests, for 3.9 s.
 		for _, m := range d.machines[:3] {
-			m.server.setLoseAnswer(func(id string) bool {
-				h := fnv.New32a()
-				_, _ = h.Write([]byte(m.name + id))
-				return h.Sum32()%10 < 4
+			// The third and the fifth of each five: never more than 0.4.
+			n := 0
+			m.server.setLoseAnswer(func(string) bool {
+				n++
+				return n%5 == 3 || n%5 == 0
 			})
 		}
 		d.rec.line("three of five servers lose the answers of 0.4 of their requests")
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(3900 * time.Millisecond)
 	for _, m := range d.machines {
 		m.server.setLoseAnswer(nil)
 	}
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -279,9 +279,9 @@
 		return
 	}
 	s.mu.Lock()
-	lose := s.loseAnswer
+	lost := s.loseAnswer != nil && s.loseAnswer(id)
 	s.mu.Unlock()
-	if lose != nil && lose(id) {
+	if lost {
 		s.rec.line("server %s: has run %s, its answer is lost", s.name, id)
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
 			_ = conn.(*net.TCPConn).SetLinger(0)
--- a/review/rig3/stale_leader.go
+++ b/review/rig3/stale_leader.go
@@ -14,12 +14,13 @@
 	badMove         = 16 * time.Second
 	lostAnswersTime = 3 * time.Second
 	work            = 160 * time.Millisecond
+	maxLostShare    = 0.35
 	exposureShare   = 0.1
 	exposureSlack   = 50
 )
 
 // staleLeader: a good version takes over. Then a bad version is ordered, of whose answers
-// every second is a failure, and for 3 s the store loses the answer of every third write.
+// every second is a failure, and the store loses the answer of one write, of three or more in 3 s.
 func staleLeader(d *deployment, trouble bool) (int, error) {
 	const host = "shop.example"
 	d.bounds = map[string]any{"ack": "5000ms", "catch_up": "6s", "drain": "2500ms", "config_apply": "2500ms", "budget_slack": 202}
@@ -86,12 +87,13 @@
 	time.Sleep(3 * time.Second)
 	ordered := time.Now()
 	if trouble {
-		d.store.loseEveryThirdAnswer(true)
+		d.store.loseOneAnswer(true)
 	}
 	d.order("v3", badMove)
+	written := make(chan int, 1)
 	go func() {
 		time.Sleep(lostAnswersTime)
-		d.store.loseEveryThirdAnswer(false)
+		written <- d.store.loseOneAnswer(false)
 	}()
 	state := d.awaitMove("v3", badMove)
 	ended := time.Since(ordered)
@@ -102,6 +104,13 @@
 		}
 	}
 	time.Sleep(time.Until(ordered.Add(badMove)))
+	if trouble {
+		writes := <-written
+		d.rec.result("writes in the %s: %d; answers lost: 1", lostAnswersTime, writes)
+		if 1 > maxLostShare*float64(writes) {
+			return couldNot, fmt.Errorf("one of %d answers is more than the share of %.2f", writes, maxLostShare)
+		}
+	}
 
 	// Judged are only requests that were sent when all machines are in touch: contact after
 	// the end of the store's disruption.
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -44,18 +44,21 @@
 	// begins to wait for changes of the table.
 	watches map[[2]string]chan struct{}
 	rec     *record
-	// losing makes the store lose the answer of every second write; writesSeen counts them.
+	// losing makes the store lose the answer of the next write. While it is set,
+	// writesSeen counts the writes.
 	losing     bool
 	writesSeen int
 }
 
-// loseEveryThirdAnswer sets whether the answer of every third write is lost, beginning
-// with the next one. The write itself is done.
-func (s *store) loseEveryThirdAnswer(losing bool) {
-	s.rec.line("the store loses the answer of every third write: %v", losing)
+// loseOneAnswer begins or ends a time in which the answer of the first write is lost. The
+// write itself is done. It returns the number of writes of the time that ends.
+func (s *store) loseOneAnswer(losing bool) (writes int) {
+	s.rec.line("the store loses an answer: %v", losing)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	writes = s.writesSeen
 	s.losing, s.writesSeen = losing, 0
+	return writes
 }
 
 func newStore(rec *record) *store {
@@ -227,7 +230,7 @@
 	s.notify()
 	version, lost := s.version, false
 	if s.losing {
-		lost = s.writesSeen%3 == 0
+		lost = s.writesSeen == 0
 		s.writesSeen++
 	}
 	for _, write := range tx.Writes {
