Bind the leader of a move to its order

Cause: a daemon kept the planner of a move until a record named another leader, run or epoch. Epochs begin at 1 again with each order, so the planner of the move before, whose last decision is final, decided the next one whenever the response to the write that takes the lead was lost, or came after its row.

The leader's state now belongs to one order and epoch. A daemon leads as soon as it knows a record that names this run, since only it writes such a record. On related paths: the time of an order no longer counts from an earlier order without a move; writes of different orders do not delay each other; a completed record counts as the baseline although the row of the baseline has not arrived; a removed record takes its planner with it.

--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -53,9 +53,10 @@
 	record *moveRecord
 	// storedRecord is the content of the store's row, which may be older.
 	storedRecord *moveRecord
-	// orderSeenAt is when this daemon first processed the order while no record
-	// of its move existed; zero once there is a record.
-	orderSeenAt time.Time
+	// orderSeenAt is when this daemon first processed the order waitingOrder, for whose
+	// move there was no record.
+	orderSeenAt  time.Time
+	waitingOrder uint64
 	// leaderContactAt is when the leader last accepted evidence of this daemon,
 	// or when this daemon received the record of the current leader.
 	leaderContactAt time.Time
@@ -64,8 +65,10 @@
 	leader *leader
 }
 
-// leader is the state that a daemon keeps while it leads a move.
+// leader is the state that a daemon keeps while it leads a move. It is valid for one order
+// and one epoch, because epochs begin at 1 again with each order.
 type leader struct {
+	order   uint64
 	epoch   uint64
 	planner *move.Planner
 	// pendingRecord is the record to write, or nil when the store holds it.
@@ -124,7 +127,7 @@
 	}
 	m.record = record
 	n.identifyOrder(service)
-	if l := m.leader; l != nil && (record.Epoch != l.epoch || record.Leader != n.self.VM || record.LeaderRun != n.self.Run) {
+	if l := m.leader; l != nil && !(n.leads(record) && l.order == record.Order && l.epoch == record.Epoch) {
 		m.leader = nil
 	}
 	if l := m.leader; l != nil && l.pendingRecord != nil && *l.pendingRecord == *record {
@@ -133,6 +136,32 @@
 	return nil
 }
 
+// forgetMove discards the record of a move, whose row was removed, and all decisions that
+// are based on it.
+func (m *serviceMove) forgetMove() {
+	m.record, m.replica = nil, replica{}
+	m.leader, m.pendingSamples = nil, nil
+}
+
+// leads reports whether the record names this run of the daemon as the leader.
+func (n *Node) leads(r *moveRecord) bool {
+	return r.Leader == n.self.VM && r.LeaderRun == n.self.Run
+}
+
+// takeLead makes this daemon the leader of the move if the move's record names it and it
+// does not lead already. Only this daemon writes such a record, so it need not wait for the
+// response to the write, which may be lost or later than the row. storeClock is the time on
+// the store's clock at readAt.
+func (n *Node) takeLead(now time.Time, m *serviceMove, readAt time.Time, storeClock time.Duration) {
+	if m.leader != nil || !m.open(n.orders) || !n.leads(m.record) {
+		return
+	}
+	m.leader = &leader{
+		order: m.record.Order, epoch: m.record.Epoch, lastReportAt: map[string]time.Time{},
+		planner: move.NewPlanner(move.Config{Ticket: m.localTicket(readAt, storeClock), Epoch: m.record.Epoch, Start: m.step()}, now),
+	}
+}
+
 // open reports whether the move is in progress for the newest order.
 func (m *serviceMove) open(orders map[string]knownOrder) bool {
 	return m.record != nil && m.record.Result == resultOpen && m.record.Order == orders[m.service].Revision
@@ -203,23 +232,22 @@
 			// Another daemon may know that the move has ended and write that again.
 			return nil
 		}
-		baseline, ok := n.baselines[o.Service]
+		from, ok := n.baselineVersion(o.Service)
 		if !ok {
 			return nil
 		}
-		if m.orderSeenAt.IsZero() {
-			m.orderSeenAt = now
+		if m.waitingOrder != o.Revision {
+			m.waitingOrder, m.orderSeenAt = o.Revision, now
 		}
 		if now.Sub(m.orderSeenAt) < delay {
 			return nil
 		}
 		accepted := storeClock - now.Sub(m.orderSeenAt)
 		return n.claimLeadership(&moveRecord{
-			Order: o.Revision, Service: o.Service, From: baseline.record.Version, To: o.Version,
+			Order: o.Revision, Service: o.Service, From: from, To: o.Version,
 			AcceptedMS: accepted.Milliseconds(), FinishMS: (accepted + o.Within).Milliseconds(),
 		})
 	}
-	m.orderSeenAt = time.Time{}
 	if !m.open(n.orders) || m.leader != nil {
 		return nil
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -138,7 +138,7 @@
 	}
 	for service, m := range n.moves {
 		if listed[movePrefix+service] == 0 && rows.Era(m.origin) >= n.era {
-			m.record, m.replica = nil, replica{}
+			m.forgetMove()
 		}
 	}
 	for service, b := range n.baselines {
@@ -176,7 +176,7 @@
 	}
 	if service, ok := suffix(name, movePrefix); ok {
 		m := n.move(service)
-		m.record, m.replica = nil, replica{}
+		m.forgetMove()
 	}
 }
 
@@ -374,11 +374,25 @@
 // service returns the service with all traffic at the baseline. No operator
 // ordered the versions of the other targets, so they receive none.
 func (n *Node) service(name string) *model.Service {
-	b, ok := n.baselines[name]
+	version, ok := n.baselineVersion(name)
 	if !ok {
 		return &model.Service{Name: name}
 	}
-	return singleVersionService(name, b.record.Version)
+	return singleVersionService(name, version)
+}
+
+// baselineVersion returns the version that has all traffic of the service while no move is
+// open. The record of a completed move may be known before the row of the baseline, which
+// the same transaction writes: a failed condition returns only the record.
+func (n *Node) baselineVersion(service string) (version string, ok bool) {
+	b, ok := n.baselines[service]
+	if m := n.moves[service]; m != nil && m.record != nil && m.record.Result == resultDone && (!ok || m.origin > b.origin) {
+		return m.record.To, true
+	}
+	if !ok {
+		return "", false
+	}
+	return b.record.Version, true
 }
 
 // singleVersionService returns the service with all traffic at one version.
--- a/internal/mesh/restore.go
+++ b/internal/mesh/restore.go
@@ -101,7 +101,7 @@
 		if finished && m.lostIn(n.era) && myTurn(m.record.Order) {
 			record := *m.record
 			record.Era, record.Origin = n.era, m.origin
-			commits = append(commits, n.recordCommit(now, m, &record, "restore move "+service)...)
+			commits = append(commits, n.recordCommit(now, m, &record, "restore move")...)
 		}
 	}
 	commits = append(commits, n.leftTargetCommits(now)...)
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -43,12 +43,39 @@
 	statuses  []mesh.Status
 	writes    int
 	sampledAt time.Time
+	// answers decides how the store's responses to performed writes arrive; nil means at
+	// once. lateAnswers holds those that arrive at a later tick.
+	answers     func(c mesh.Commit) answer
+	lateAnswers []lateAnswer
+	// feedRejectedVM is the VM that receives no changed rows; the store performs its writes.
+	feedRejectedVM string
+	// incarnation is that of the last replaced target; those of the first targets are 1.
+	incarnation uint64
 	// samplesOf returns the samples that the VM's daemon takes in one interval.
 	samplesOf func(vm string, order uint64, permille uint32) []move.Sample
 }
 
+// answer is how the response to a performed write arrives.
+type answer int
+
+const (
+	answered answer = iota
+	// answeredLate responses arrive answerDelay after the row.
+	answeredLate
+	// answerLost responses never arrive, and the write fails for its daemon.
+	answerLost
+)
+
+// answerDelay is the delay of late responses. It covers two ticks.
+const answerDelay = 2 * mesh.TickInterval
+
+type lateAnswer struct {
+	at   time.Time
+	done func(now time.Time)
+}
+
 func newFleet(targets map[string]string) *fleet {
-	f := &fleet{now: start, nodes: map[string]*mesh.Node{}, partitioned: map[string]bool{}, stored: map[rows.Key]rows.Row{}}
+	f := &fleet{now: start, nodes: map[string]*mesh.Node{}, partitioned: map[string]bool{}, stored: map[rows.Key]rows.Row{}, incarnation: 1}
 	config := configuration(1)
 	for i := range len(targets) {
 		vm := fmt.Sprintf("vm%d", i)
@@ -78,7 +105,7 @@
 	row.Version = f.version
 	f.stored[row.Key] = row
 	for vm, n := range f.nodes {
-		if !f.partitioned[vm] && vm != f.storeRejectedVM {
+		if !f.partitioned[vm] && vm != f.storeRejectedVM && vm != f.feedRejectedVM {
 			Expect(n.ApplyChanges(f.now, []rows.Change{{Row: row}})).To(BeEmpty())
 		}
 	}
@@ -164,6 +191,7 @@
 // run advances the clock by d and ticks all nodes at each interval.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(mesh.TickInterval) {
+		f.deliverLateAnswers()
 		report := f.now.Sub(f.sampledAt) >= move.SampleInterval
 		if report {
 			f.sampledAt = f.now
@@ -189,7 +217,7 @@
 		if err == nil && c.Status != nil {
 			f.statuses = append(f.statuses, *c.Status)
 		}
-		c.Done(f.now, version, err)
+		f.respond(c, version, err)
 	}
 	for _, r := range reports {
 		reply, err := mesh.Reply{}, fault.New(fault.Unavailable, "the leader is unreachable")
@@ -200,6 +228,33 @@
 	}
 }
 
+// respond passes the result of a write to its daemon.
+func (f *fleet) respond(c mesh.Commit, version uint64, err error) {
+	how := answered
+	if err == nil && f.answers != nil {
+		how = f.answers(c)
+	}
+	switch how {
+	case answered:
+		c.Done(f.now, version, err)
+	case answerLost:
+		c.Done(f.now, 0, fault.New(fault.Unavailable, "the response was lost"))
+	case answeredLate:
+		f.lateAnswers = append(f.lateAnswers, lateAnswer{f.now.Add(answerDelay), func(now time.Time) { c.Done(now, version, nil) }})
+	}
+}
+
+// deliverLateAnswers passes the responses that are due to their daemons.
+func (f *fleet) deliverLateAnswers() {
+	f.lateAnswers = slices.DeleteFunc(f.lateAnswers, func(a lateAnswer) bool {
+		due := !f.now.Before(a.at)
+		if due {
+			a.done(f.now)
+		}
+		return due
+	})
+}
+
 func (f *fleet) states() []mesh.StatusState {
 	var states []mesh.StatusState
 	for _, s := range f.statuses {
@@ -233,6 +288,8 @@
 	Leader string `json:"leader"`
 	Epoch  uint64 `json:"epoch"`
 	Result string `json:"result"`
+	// AcceptedMS is in milliseconds after start.
+	AcceptedMS int64 `json:"accepted_ms"`
 }
 
 func (f *fleet) moveRow() moveRow {
@@ -242,6 +299,11 @@
 	return record
 }
 
+// acceptedAt returns when the leader accepted the order of the stored move.
+func (f *fleet) acceptedAt() time.Time {
+	return start.Add(time.Duration(f.moveRow().AcceptedMS) * time.Millisecond)
+}
+
 func (f *fleet) orderRevision() uint64 { return f.moveRow().Order }
 
 func leaderOf(f *fleet) string { return f.moveRow().Leader }
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -75,6 +76,7 @@
 			if record := n.candidateRecord(now, storeClock, n.orders[service].Order); record != nil {
 				commits = append(commits, n.leadCommit(now, m, record, storeClock)...)
 			}
+			n.takeLead(now, m, now, storeClock)
 		}
 		if !m.open(n.orders) {
 			continue
@@ -135,7 +137,7 @@
 // fault.Stale when this daemon does not lead the move in the report's epoch.
 func (n *Node) HandleReport(now time.Time, vm string, r Report) (Reply, error) {
 	m := n.moves[r.Service]
-	if m == nil || m.leader == nil || m.record == nil || m.record.Order != r.Order || m.leader.epoch != r.Epoch {
+	if m == nil || m.leader == nil || m.leader.order != r.Order || m.leader.epoch != r.Epoch {
 		return Reply{}, fault.New(fault.Stale, "this daemon does not lead order %d of service %q in epoch %d", r.Order, r.Service, r.Epoch)
 	}
 	m.leader.lastReportAt[vm] = now
@@ -153,7 +155,7 @@
 	n.writesInProgress[purpose] = true
 	return []Commit{{Transaction: tx, Status: status, Purpose: purpose, Done: func(now time.Time, version uint64, err error) {
 		delete(n.writesInProgress, purpose)
-		delete(n.retryAt, purpose)
+		maps.DeleteFunc(n.retryAt, func(other string, at time.Time) bool { return other == purpose || !now.Before(at) })
 		switch {
 		case err != nil:
 			n.retryAt[purpose] = now.Add(commitRetryDelay)
@@ -181,26 +183,28 @@
 	n.routingChanged = n.routingChanged || len(conflict.Rows) > 0
 }
 
+// writePurpose returns the purpose of a write of the record. It names the order, so that a
+// write for an earlier order, in progress or failed, does not delay one for a later order.
+func writePurpose(action string, record *moveRecord) string {
+	return fmt.Sprintf("%s %s, order %d", action, record.Service, record.Order)
+}
+
 // leadCommit returns the write that makes this daemon the leader of a move. The
 // condition on the row's version lets only one of several candidates succeed.
 func (n *Node) leadCommit(start time.Time, m *serviceMove, record *moveRecord, storeClock time.Duration) []Commit {
 	row := encodeRow(meshKey(movePrefix+m.service), record)
 	tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: m.version}}, Writes: []rows.Row{row}}
 	status := &Status{Service: m.service, Version: record.To, State: StatusRunning}
-	return n.startWrite(start, "lead "+m.service, tx, status, func(now time.Time, version uint64, err error) {
+	return n.startWrite(start, writePurpose("lead", record), tx, status, func(now time.Time, version uint64, err error) {
 		if err != nil {
 			return
 		}
 		row.Version = version
-		if n.applyMove(now, m.service, row) != nil || m.version != version || m.storedOrigin != m.origin {
+		if n.applyMove(now, m.service, row) != nil {
 			return
 		}
 		n.routingChanged = true
-		open := m.localTicket(start, storeClock)
-		m.leader = &leader{
-			epoch: record.Epoch, lastReportAt: map[string]time.Time{},
-			planner: move.NewPlanner(move.Config{Ticket: open, Epoch: record.Epoch, Start: m.step()}, now),
-		}
+		n.takeLead(now, m, start, storeClock)
 	})
 }
 
@@ -218,12 +222,12 @@
 	}
 	l.pendingRecord.Era = n.era
 	record := *l.pendingRecord
-	return n.recordCommit(now, m, &record, "step "+m.service)
+	return n.recordCommit(now, m, &record, "step")
 }
 
 // recordCommit returns the write of a move's record. It also writes the status if
 // the move has ended or its earlier write was lost in a restore of the store.
-func (n *Node) recordCommit(now time.Time, m *serviceMove, record *moveRecord, purpose string) []Commit {
+func (n *Node) recordCommit(now time.Time, m *serviceMove, record *moveRecord, action string) []Commit {
 	row := encodeRow(meshKey(movePrefix+m.service), record)
 	tx := rows.Transaction{Conditions: []rows.Condition{{Key: row.Key, Version: m.version}}, Writes: []rows.Row{row}}
 	var baseline rows.Row
@@ -240,7 +244,7 @@
 	case resultTakenBack:
 		status = &Status{Service: m.service, Version: record.To, State: StatusTakenBack}
 	}
-	return n.startWrite(now, purpose, tx, status, func(now time.Time, version uint64, err error) {
+	return n.startWrite(now, writePurpose(action, record), tx, status, func(now time.Time, version uint64, err error) {
 		if err != nil {
 			return
 		}
