Identify routes by host and path prefix

Cause: the mesh kept routes by the operators' name, so the later of two routes replaced the earlier without a log line. Statistics, expected work, paces, the evidence of moves, metrics and the header between daemons used the same name.

On related paths: the fingerprint of a crashing request includes the host, and a ticket whose route has host and prefix of another one is refused.

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -26,7 +26,8 @@
 
 // OddEntry is an entry of the configuration that is not in force as the operators wrote it.
 type OddEntry struct {
-	// Entry tells which entry it is. It holds no values of fields, except for names.
+	// Entry tells which entry it is. It holds no values of fields, except for names, hosts
+	// and path prefixes.
 	Entry string
 	// Fields are the names of the fields that got the strictest meaning, or because of
 	// which the entry was left out.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -68,7 +68,11 @@
 
 // Route sends matching requests to a service.
 type Route struct {
+	// Name identifies the route in all that is kept by route.
 	Name string
+	// Label is the operators' name of the route if Name is another one. It is only for
+	// people, and several routes may have the same.
+	Label string
 	// Host is the request's host without port; an empty Host matches every host.
 	Host string
 	// PathPrefix starts with a slash. The longest match wins.
--- a/internal/model/state_test.go
+++ b/internal/model/state_test.go
@@ -143,6 +143,13 @@
 		Entry("a route to a version that does not exist", fault.Invalid, func(t *model.Ticket) {
 			t.Routes = []model.Route{{Name: "new", PathPrefix: "/new", Service: "scans", Version: "v9", Class: model.Normal}}
 		}),
+		// A route of another name with the same requests would silently replace the first.
+		Entry("a route with the host and path prefix of another one", fault.Invalid, func(t *model.Ticket) {
+			t.Routes = []model.Route{{Name: "new", PathPrefix: "/pinned", Service: "scans", Class: model.Normal}}
+		}),
+		Entry("two routes with the same host, in other letters, and path prefix", fault.Invalid, func(t *model.Ticket) {
+			t.Routes = []model.Route{{Name: "a", Host: "x.example", PathPrefix: "/x", Service: "scans", Class: model.Normal}, {Name: "b", Host: "X.example", PathPrefix: "/x", Service: "scans", Class: model.Normal}}
+		}),
 		Entry("removing a service that does not exist", fault.Invalid, func(t *model.Ticket) { t.RemoveServices = []string{"none"} }),
 		Entry("a route that is both idempotent and once", fault.Invalid, func(t *model.Ticket) {
 			t.Routes = []model.Route{{Name: "new", PathPrefix: "/new", Service: "scans", Class: model.Normal, Idempotent: true, Once: true}}
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -267,6 +267,19 @@
 	}
 }
 
+// checkSameRequests refuses a route that matches the same requests as a route of another
+// name, since only one of them would get any. The names decided which.
+func (f *findings) checkSameRequests(after *State, t *Ticket) {
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		for name, other := range after.Routes {
+			if name != r.Name && r.SameRequests(other) {
+				f.add("route %q has the same host %q and path prefix %q as route %q", r.Name, r.Host, r.PathPrefix, name)
+			}
+		}
+	}
+}
+
 // checkReferences checks every route against the services as they are after the
 // ticket's moves. This covers the time of the moves too, since services then have
 // the old and the new versions. A pinned version must be proved unless its
@@ -286,6 +299,7 @@
 	for i := range t.Routes {
 		after.Routes[t.Routes[i].Name] = &t.Routes[i]
 	}
+	f.checkSameRequests(after, t)
 	for _, r := range after.Routes {
 		missing := false
 		for _, name := range r.Services() {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliamount/magnoliamount/internal/fault"
 	"github.com/magnoliamount/magnoliamount/internal/memlimit"
+	"github.com/magnoliamount/magnoliamount/internal/model"
 	"github.com/magnoliamount/magnoliamount/internal/routing"
 )
 
@@ -297,7 +298,7 @@
 func fingerprint(r *http.Request, key string, prefix []byte) uint64 {
 	d := xxhash.New()
 	// A hash.Hash never returns an error.
-	for _, part := range []string{r.Method, r.URL.RequestURI(), key} {
+	for _, part := range []string{r.Method, model.NormalizeHost(r.Host), r.URL.RequestURI(), key} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/internal/proxy/inputs.go
+++ b/internal/proxy/inputs.go
@@ -15,7 +15,7 @@
 		text += fmt.Sprintf(", left %d ms", time.Until(x.deadline).Milliseconds())
 	}
 	if x.route != nil {
-		text += ", route " + x.route.Name
+		text += ", route " + x.route.Title()
 	}
 	if x.snapshot.tenants != nil {
 		name := ""
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -208,7 +208,7 @@
 // take precedence over routes without a host, and the longest path prefix wins.
 // A port in the host is ignored.
 func (t *Table) Match(host, path string) *Route {
-	host = normalizeHost(host)
+	host = model.NormalizeHost(host)
 	if route := longestMatch(t.hosts[host], path); route != nil || host == "" {
 		return route
 	}
@@ -239,13 +239,6 @@
 	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
-func normalizeHost(host string) string {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:colon]
-	}
-	return strings.ToLower(host)
-}
-
 // IsNewVersion reports whether the service's open ticket increases the share of
 // the version with the name.
 func (s *Service) IsNewVersion(name string) bool {
