Keep judging, and hold the move, while targets of the new version are lost

Cause: in a shortage of targets all evidence was dropped, and nothing held the move, since above 5% it advances by time unless the verdict is bad.

Failures that a target answered itself are counted apart and stay evidence in a shortage; requests without an answer do not. Slow answers stay evidence unless load or cold targets may be their cause; where they are dropped, the move waits until later evidence rules out a regression again.

--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -19,7 +19,8 @@
 	nextFlush time.Time
 }
 
-// maxPendingSamples bounds the buffered samples of a node without a parent.
+// maxPendingSamples bounds the buffered samples of a node without a parent. Beyond it, the
+// samples of each version are combined.
 const maxPendingSamples = 4096
 
 func (e *evidence) init() { e.judges = map[uint64]*localJudge{} }
@@ -35,9 +36,10 @@
 	if len(e.pending) >= maxPendingSamples {
 		e.pending = move.MergeSamples(e.pending)
 	}
-	if len(e.pending) < maxPendingSamples {
-		e.pending = append(e.pending, s)
+	if len(e.pending) >= maxPendingSamples {
+		e.pending = move.CombineRoutes(e.pending)
 	}
+	e.pending = append(e.pending, s)
 }
 
 // localJudge evaluates an open ticket from this daemon's own samples.
--- a/internal/mesh/moves.go
+++ b/internal/mesh/moves.go
@@ -31,6 +31,9 @@
 	// maxEvidenceAge is the age of a daemon's last report up to which its
 	// evidence counts as live.
 	maxEvidenceAge = 1500 * time.Millisecond
+	// minLiveNewFraction is the fraction of the daemons with targets of the new version
+	// whose evidence must be live. Those few daemons collect all evidence of it.
+	minLiveNewFraction = 0.5
 	// minLiveFraction is the fraction of the daemons whose evidence must be
 	// live. It is below 1 because a failed daemon is still counted: only its
 	// missing reports show the failure.
@@ -42,7 +45,7 @@
 	// seconds.
 	earlierEraDelay = 2 * time.Second
 	// maxPendingSamples bounds the samples that are queued for the leader. Beyond
-	// it, all of them are dropped.
+	// it, they are combined to one for each version.
 	maxPendingSamples = 1024
 )
 
@@ -136,6 +139,14 @@
 	return nil
 }
 
+// addPending adds samples to those that are queued for the leader.
+func (m *serviceMove) addPending(samples []move.Sample) {
+	m.pendingSamples = move.MergeSamples(append(m.pendingSamples, samples...))
+	if len(m.pendingSamples) > maxPendingSamples {
+		m.pendingSamples = move.CombineRoutes(m.pendingSamples)
+	}
+}
+
 // forgetMove discards the record of a move, whose row was removed, and all decisions that
 // are based on it.
 func (m *serviceMove) forgetMove() {
@@ -286,20 +297,37 @@
 	return map[string]move.TargetCount{m.service: count}
 }
 
-// evidenceLive reports whether at least minLiveFraction of the ready daemons
-// sent evidence within maxEvidenceAge.
-func (n *Node) evidenceLive(now time.Time, l *leader) bool {
-	daemons, live := 0, 0
+// evidenceLive reports whether at least minLiveFraction of the ready daemons, and
+// minLiveNewFraction of those with targets of the new version, sent evidence within
+// maxEvidenceAge.
+func (n *Node) evidenceLive(now time.Time, m *serviceMove) bool {
+	var all, ofNew liveCount
 	for vm, known := range n.targets {
-		if stateByName[known.record.State] != member.Ready {
+		r := known.record
+		if stateByName[r.State] != member.Ready {
 			continue
 		}
-		daemons++
-		if vm == n.self.VM || now.Sub(l.lastReportAt[vm]) <= maxEvidenceAge {
-			live++
+		live := vm == n.self.VM || now.Sub(m.leader.lastReportAt[vm]) <= maxEvidenceAge
+		all.add(live)
+		if r.Service == m.service && r.Version == m.record.To {
+			ofNew.add(live)
 		}
 	}
-	return float64(live) >= minLiveFraction*float64(daemons)
+	return all.atLeast(minLiveFraction) && ofNew.atLeast(minLiveNewFraction)
+}
+
+// liveCount counts daemons and those of them whose evidence is live.
+type liveCount struct{ daemons, live int }
+
+func (c *liveCount) add(live bool) {
+	c.daemons++
+	if live {
+		c.live++
+	}
+}
+
+func (c *liveCount) atLeast(fraction float64) bool {
+	return float64(c.live) >= fraction*float64(c.daemons)
 }
 
 // decide asks the planner for its next decision and sets the record to write.
@@ -311,7 +339,7 @@
 	if reason := n.brakes[m.record.Order]; reason != "" {
 		l.planner.RecordBrake(now, reason)
 	}
-	decision := l.planner.Next(now, move.Conditions{EvidenceLive: n.evidenceLive(now, l), Targets: n.targetCounts(m)})
+	decision := l.planner.Next(now, move.Conditions{EvidenceLive: n.evidenceLive(now, m), Targets: n.targetCounts(m)})
 	next := *m.record
 	next.Origin = 0
 	l.holdReason = decision.Reason
--- a/internal/mesh/suite_test.go
+++ b/internal/mesh/suite_test.go
@@ -289,7 +289,8 @@
 	Epoch  uint64 `json:"epoch"`
 	Result string `json:"result"`
 	// AcceptedMS is in milliseconds after start.
-	AcceptedMS int64 `json:"accepted_ms"`
+	AcceptedMS int64  `json:"accepted_ms"`
+	Permille   uint32 `json:"permille"`
 }
 
 func (f *fleet) moveRow() moveRow {
@@ -304,6 +305,12 @@
 	return start.Add(time.Duration(f.moveRow().AcceptedMS) * time.Millisecond)
 }
 
+// step returns the order and the progress of the stored move.
+func (f *fleet) step() (order uint64, permille uint32) {
+	row := f.moveRow()
+	return row.Order, row.Permille
+}
+
 func (f *fleet) orderRevision() uint64 { return f.moveRow().Order }
 
 func leaderOf(f *fleet) string { return f.moveRow().Leader }
--- a/internal/mesh/tick.go
+++ b/internal/mesh/tick.go
@@ -102,10 +102,7 @@
 		m.leader.planner.Observe(now, own)
 		return nil
 	}
-	m.pendingSamples = move.MergeSamples(append(m.pendingSamples, own...))
-	if len(m.pendingSamples) > maxPendingSamples {
-		m.pendingSamples = nil
-	}
+	m.addPending(own)
 	r := &Report{
 		Service: m.service, Order: m.record.Order, Epoch: m.record.Epoch, Address: m.record.EvidenceAddress,
 		Samples: m.pendingSamples,
@@ -122,7 +119,7 @@
 		return
 	}
 	if err != nil {
-		m.pendingSamples = move.MergeSamples(append(m.pendingSamples, r.Samples...))
+		m.addPending(r.Samples)
 		return
 	}
 	if m.record.Epoch == r.Epoch && !reply.StoreUnavailable {
--- a/internal/move/buckets.go
+++ b/internal/move/buckets.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/magnoliamount/magnoliamount/internal/wire"
@@ -42,11 +43,29 @@
 func (s *Sample) Add(other *Sample) {
 	s.Requests += other.Requests
 	s.Errors += other.Errors
+	s.AnsweredErrors += other.AnsweredErrors
 	for i, n := range other.Latency {
 		s.Latency[i] += n
 	}
 }
 
+// unanswered returns the number of requests without an answer of a target.
+func (s *Sample) unanswered() uint32 { return s.Errors - min(s.AnsweredErrors, s.Errors) }
+
+// answeredOnly returns the sample without the requests that have no answer. It assumes that
+// they were the slowest.
+func (s Sample) answeredOnly() Sample {
+	left := min(s.unanswered(), s.Requests)
+	s.Requests -= left
+	s.Errors = min(s.AnsweredErrors, s.Requests)
+	for i := LatencyBuckets - 1; i >= 0 && left > 0; i-- {
+		removed := min(left, s.Latency[i])
+		s.Latency[i] -= removed
+		left -= removed
+	}
+	return s
+}
+
 // SlowerThan returns the number of requests in the buckets above the given index.
 func (s *Sample) SlowerThan(bucket int) uint32 {
 	var slow uint32
@@ -66,7 +85,7 @@
 	copy(latency, s.Latency[:used])
 	return &wire.Sample{
 		Ticket: s.Key.Ticket, Route: s.Key.Route, Service: s.Key.Service, NewVersion: s.Key.New,
-		Requests: s.Requests, Errors: s.Errors, Latency: latency,
+		Requests: s.Requests, Errors: s.Errors, AnsweredErrors: s.AnsweredErrors, Latency: latency,
 	}
 }
 
@@ -77,6 +96,8 @@
 		Key:      SampleKey{Ticket: w.GetTicket(), Route: w.GetRoute(), Service: w.GetService(), New: w.GetNewVersion()},
 		Requests: w.GetRequests(),
 		Errors:   w.GetErrors(),
+		// A daemon of another release may send more.
+		AnsweredErrors: min(w.GetAnsweredErrors(), w.GetErrors()),
 	}
 	for i, n := range w.GetLatency() {
 		s.Latency[min(i, LatencyBuckets-1)] += n
@@ -84,6 +105,16 @@
 	return s
 }
 
+// CombineRoutes sums the samples of all routes of each service and version under an empty
+// route, so that a bounded number of samples holds all requests.
+func CombineRoutes(samples []Sample) []Sample {
+	combined := slices.Clone(samples)
+	for i := range combined {
+		combined[i].Key.Route = ""
+	}
+	return MergeSamples(combined)
+}
+
 // MergeSamples sums the samples of each key and returns the sums in the order in
 // which the keys first appear.
 func MergeSamples(samples []Sample) []Sample {
--- a/internal/move/collector.go
+++ b/internal/move/collector.go
@@ -46,6 +46,9 @@
 	s.Requests++
 	if o.Failed || o.CrashFingerprint != 0 {
 		s.Errors++
+		if o.Answered && o.CrashFingerprint == 0 {
+			s.AnsweredErrors++
+		}
 	}
 	s.Latency[BucketOf(o.Latency)]++
 }
--- a/internal/move/collector_test.go
+++ b/internal/move/collector_test.go
@@ -26,7 +26,7 @@
 	// Guards against evidence that the wire encoding changes, and against bytes
 	// wasted on empty buckets.
 	It("round-trips through the wire format without trailing zeros", func() {
-		s := move.Sample{Key: sampleKey("lookup", true), Requests: 3, Errors: 1}
+		s := move.Sample{Key: sampleKey("lookup", true), Requests: 3, Errors: 2, AnsweredErrors: 1}
 		s.Latency[4] = 3
 		w := s.ToWire()
 		Expect(w.GetLatency()).To(Equal([]uint32{0, 0, 0, 0, 3}))
@@ -35,6 +35,33 @@
 		Expect(empty.ToWire().GetLatency()).To(BeEmpty())
 	})
 
+	// Guards against more answered failures than failures in a sample of another release.
+	It("has at most as many answered failures as failures", func() {
+		w := (&move.Sample{Requests: 3, Errors: 1}).ToWire()
+		w.AnsweredErrors = 2
+		Expect(move.SampleFromWire(w).AnsweredErrors).To(Equal(uint32(1)))
+	})
+
+	// Guards against evidence that is lost where it exceeds a bound.
+	It("keeps all requests when the routes are combined", func() {
+		var samples []move.Sample
+		for i := range 3 {
+			for _, isNew := range []bool{false, true} {
+				s := move.Sample{Key: sampleKey(string(rune('a'+i)), isNew), Requests: 5, Errors: 2, AnsweredErrors: 1}
+				s.Latency[i] = 5
+				samples = append(samples, s)
+			}
+		}
+		combined := move.CombineRoutes(samples)
+		Expect(combined).To(HaveLen(2))
+		for _, s := range combined {
+			Expect(s.Key.Route).To(BeEmpty())
+			Expect([]uint32{s.Requests, s.Errors, s.AnsweredErrors}).To(Equal([]uint32{15, 6, 3}))
+			Expect(s.Latency[:3]).To(Equal([]uint32{5, 5, 5}))
+		}
+		Expect(samples[0].Key.Route).To(Equal("a"))
+	})
+
 	// Guards against a panic or lost counts when another release sends more buckets.
 	It("adds the counts of surplus buckets to the last one", func() {
 		s := move.Sample{}
@@ -64,6 +91,17 @@
 		Expect(c.Drain()).To(BeEmpty())
 	})
 
+	// Guards against a crash that counts as an answer, and is then evidence in a shortage of
+	// targets.
+	It("counts answered failures apart from crashes", func() {
+		c := move.NewCollector()
+		c.Observe(move.Observation{Key: sampleKey("lookup", true), Failed: true, Answered: true})
+		c.Observe(move.Observation{Key: sampleKey("lookup", true), Failed: true, Answered: true, CrashFingerprint: 7})
+		c.Observe(move.Observation{Key: sampleKey("lookup", true), Failed: true})
+		s := c.Drain()[0]
+		Expect([]uint32{s.Requests, s.Errors, s.AnsweredErrors}).To(Equal([]uint32{3, 3, 1}))
+	})
+
 	// Guards against counting each request that fails with one crashing target as a
 	// failure of its own.
 	It("counts the crashes of an interval as one failure per key", func() {
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -20,7 +20,9 @@
 	// are expected.
 	ColdFraction float64
 	// TargetShortage is true while a service has lost so many targets of its new
-	// version that the others are overloaded. Judges ignore evidence during that time.
+	// version that the others may be overloaded. Requests without an answer are no
+	// evidence during that time, and slow answers are none of a regression if load or
+	// cold targets may be the cause.
 	TargetShortage bool
 	// ControllerUnreachable is true for a daemon whose evidence does not reach the
 	// controller, so that only the daemon itself can detect a fault in its traffic.
@@ -32,6 +34,9 @@
 	// Bad is true when the new versions are worse than the old ones. Once true, it
 	// stays true.
 	Bad bool
+	// EvidenceDropped is true from an interval in which evidence of a regression was
+	// dropped until later evidence rules out a regression.
+	EvidenceDropped bool
 	// Reason names the service, the route and the measure that led to Bad.
 	Reason string
 	// RegressionLLR is the highest log likelihood ratio, in nats, of a regression
--- a/internal/move/measure.go
+++ b/internal/move/measure.go
@@ -56,6 +56,9 @@
 	// rejection in these cases.
 	unknownNoiseCap = 3.0
 	noisyCap        = 1.0
+	// minDroppedEvidence is the evidence of a regression, in nats, from which dropping it
+	// makes the measure unproved. Chance provides less in some intervals of a good version.
+	minDroppedEvidence = 1.0
 )
 
 // tolerance defines the highest rate of the new version that is not a regression:
@@ -84,6 +87,9 @@
 	// llrs holds, for each effect, the log likelihood ratio of a regression since
 	// the start of the move, bounded below by 2*provedLLR.
 	llrs []float64
+	// unproved is true from an interval in which evidence of a regression was dropped until
+	// later evidence rules out a regression.
+	unproved bool
 	// priorHits and priorTotal are decayed counts of the old version.
 	priorHits, priorTotal float64
 	// blocks holds the old version's rates over blocks of about one second, each two
@@ -109,6 +115,9 @@
 	oldHits, oldTotal, newHits, newTotal float64
 	// coldAllowance is added to the tolerance's margin because of cold targets.
 	coldAllowance float64
+	// favorableOnly is true when hits may be due to lost targets, so that the interval may
+	// only be evidence for the new version.
+	favorableOnly bool
 	// oldRelieved is true when the old version carries much less load than at the
 	// start of the move, so that its requests of the same interval are not a fair
 	// reference by themselves.
@@ -131,13 +140,29 @@
 // regression begins with this interval.
 func (m *measure) observe(in interval, weight float64) {
 	null := m.nullRate(in)
+	warm := in
+	warm.coldAllowance = 0
+	warmNull := m.nullRate(warm)
 	limit := m.evidenceCap(in)
 	for i, effect := range m.effects {
 		m.logMixtures[i] = logAddExp(m.logMixtures[i], math.Log(weight/float64(len(m.effects))))
 		gain := math.Min(logLikelihoodRatio(in, null, effect), limit)
+		if gain < 0 {
+			// What cold targets may explain is no evidence for the new version.
+			gain = math.Min(0, logLikelihoodRatio(in, warmNull, effect))
+		}
+		if in.favorableOnly && gain > 0 {
+			m.unproved = m.unproved || gain >= minDroppedEvidence
+			if m.unproved {
+				// Earlier evidence for the new version does not outweigh what is dropped.
+				m.llrs[i] = math.Max(m.llrs[i], 0)
+			}
+			gain = 0
+		}
 		m.logMixtures[i] += gain
 		m.llrs[i] = math.Max(m.llrs[i]+gain, 2*provedLLR)
 	}
+	m.unproved = m.unproved && m.maxLLR() > provedLLR
 	m.updateHistory(in)
 }
 
--- a/internal/move/planner.go
+++ b/internal/move/planner.go
@@ -201,6 +201,9 @@
 	case !p.targets.allReady():
 		return "the new version has no ready target"
 	}
+	if p.step.Permille > 0 && p.judge.Verdict().EvidenceDropped {
+		return "the new version is not proved again since evidence of it was dropped"
+	}
 	if missing := p.traffic.missingEvidence(now, p.step.Permille); missing != "" {
 		return "evidence of the new version is missing: " + missing
 	}
--- a/internal/move/route.go
+++ b/internal/move/route.go
@@ -45,9 +45,15 @@
 	t.old.Add(s)
 }
 
-// flush adds the counts of the interval to the evidence and resets them.
+// flush adds the counts of the interval to the evidence and resets them. In a shortage of
+// targets only answers are evidence: requests without one may be due to the lost targets.
+// Slow answers are none of a regression while a target has come back and is cold, or the
+// remaining ones carry more load than the old version's targets ever did.
 func (t *routeTest) flush(stage Stage, c comparisonConditions, weight float64) {
-	if stage.TargetShortage || t.old.Requests == 0 && t.new.Requests == 0 {
+	if stage.TargetShortage {
+		t.old, t.new = t.old.answeredOnly(), t.new.answeredOnly()
+	}
+	if t.old.Requests == 0 && t.new.Requests == 0 {
 		t.old, t.new = Sample{}, Sample{}
 		return
 	}
@@ -63,10 +69,15 @@
 	errors.oldHits = float64(t.old.Errors)
 	errors.newHits = float64(t.new.Errors)
 	t.errors.observe(errors, weight)
+	cold := stage.ColdFraction
+	if stage.TargetShortage {
+		base.favorableOnly = c.aboveOldPeak || cold > 0
+		cold = 0
+	}
 	if bucket, total := t.slowBucket(); total > 0 {
 		if total >= minOldRequests {
-			t.slow.observe(t.slowInterval(base, bucket, stage.ColdFraction), weight)
-			t.verySlow.observe(t.slowInterval(base, bucket+verySlowShift, verySlowColdFraction*stage.ColdFraction), weight)
+			t.slow.observe(t.slowInterval(base, bucket, cold), weight)
+			t.verySlow.observe(t.slowInterval(base, bucket+verySlowShift, verySlowColdFraction*cold), weight)
 		}
 		t.stalled.observe(t.slowInterval(base, bucket+stalledShift, 0), weight)
 	}
--- a/internal/move/suite_test.go
+++ b/internal/move/suite_test.go
@@ -52,6 +52,7 @@
 	for range n {
 		if rng.Float64() < b.errorRate {
 			s.Errors++
+			s.AnsweredErrors++
 		}
 		s.Latency[move.BucketOf(time.Duration(rng.ExpFloat64()*float64(b.meanLatency)))]++
 	}
--- a/internal/move/targets.go
+++ b/internal/move/targets.go
@@ -88,6 +88,11 @@
 }
 
 func (s *serviceTargets) update(now time.Time, ready int, focus uint32) {
+	// Targets that leave and come back, as those that go down and up, are counted once. The
+	// last to arrive is taken for the one that leaves.
+	left := min(max(0, s.ready-ready), len(s.coldSince))
+	s.coldSince = s.coldSince[:len(s.coldSince)-left]
+	s.withoutTraffic -= min(max(0, s.ready-ready), s.withoutTraffic)
 	arrived := max(0, ready-s.ready)
 	s.coldSince = append(s.coldSince, slices.Repeat([]time.Time{now}, arrived)...)
 	if focus > 0 {
--- a/internal/move/types.go
+++ b/internal/move/types.go
@@ -49,7 +49,10 @@
 	Key      SampleKey
 	Requests uint32
 	Errors   uint32
-	Latency  [LatencyBuckets]uint32
+	// AnsweredErrors counts the Errors that a target answered itself. The others are
+	// requests without an answer, as when the target crashes or is overloaded.
+	AnsweredErrors uint32
+	Latency        [LatencyBuckets]uint32
 }
 
 // Observation is one finished request, as measured by the caller's daemon.
@@ -59,6 +62,9 @@
 	// Failed is true for a server error or an unknown outcome. Requests that
 	// were shed before they ran are not observed.
 	Failed bool
+	// Answered is true for a failure that the target answered itself. A failure that says
+	// that the target had no time for the request is not one.
+	Answered bool
 	// CrashFingerprint identifies the request if the target crashed while running
 	// it; zero means no crash.
 	CrashFingerprint uint64
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -384,6 +384,7 @@
 	if a.failure == nil {
 		h := a.result.response.Header
 		observation.Failed = observation.Failed || a.result.response.StatusCode >= http.StatusInternalServerError
+		observation.Answered = a.outcome() != Unknown && answersFailure(a.result.response.StatusCode)
 		observation.CrashFingerprint, _ = parseNumericHeader(h, CrashHeader, 16, 64)
 	}
 	x.o.config.Observer.Observe(observation)
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -269,8 +269,34 @@
 		Expect(observations[1].Key.Ticket).To(BeEquivalentTo(2))
 		Expect(observations[1].Latency).To(BeNumerically(">", 0))
 	})
+
+	// Guards against a failure for lack of an answer that counts as the version's own: in a
+	// shortage of targets only answers are evidence. Both proxies report the request here.
+	DescribeTable("observes whether the target answered the failure", func(serve http.HandlerFunc, failed, answered bool) {
+		m := newMesh(model.Route{}, &countingTarget{}, &countingTarget{serve: serve})
+		DeferCleanup(m.close)
+		m.nodes[1].inbound.SetMove(proxy.TargetMove{Ticket: 2, New: true})
+		m.moveTo(1000)
+		m.do(m.request("POST", "/", ""))
+		observations := m.observer.recordedObservations()
+		Expect(observations).To(HaveLen(2))
+		for _, o := range observations {
+			Expect(o.Failed).To(Equal(failed))
+			Expect(o.Answered).To(Equal(answered))
+		}
+	},
+		Entry("a success", answerStatus(200), false, false),
+		Entry("a failure", answerStatus(500), true, true),
+		Entry("a failure of what it called", answerStatus(502), true, true),
+		Entry("no time for the request", answerStatus(504), true, false),
+		Entry("a connection that breaks", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), true, false),
+	)
 })
 
+func answerStatus(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+}
+
 var _ = Describe("once routes", func() {
 	var m *mesh
 	var target *countingTarget
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -149,7 +149,7 @@
 		if s.ctx.Err() == nil || result.responseStarted && s.r.Context().Err() == nil {
 			s.backend.failures.add(true)
 		}
-		s.observe(latency, result.wrote)
+		s.observe(move.Observation{Latency: latency, Failed: result.wrote})
 		s.refuseFailed(result, request, granted)
 		return
 	}
@@ -167,7 +167,11 @@
 	}
 	s.backend.failures.add(refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
 	if refused == nil || refused.outcome != NotRun {
-		s.observe(latency-result.setupTime, refused != nil || result.response.StatusCode >= http.StatusInternalServerError)
+		status := result.response.StatusCode
+		s.observe(move.Observation{
+			Latency: latency - result.setupTime, Failed: refused != nil || status >= http.StatusInternalServerError,
+			Answered: refused == nil && answersFailure(status),
+		})
 	}
 	if refused != nil {
 		if refused.targetUnavailable {
@@ -184,22 +188,27 @@
 // because they say nothing about the version.
 const minAbandonedFraction = 0.5
 
-// observe reports a request that ran to the evaluation of the open move.
-func (s *service) observe(latency time.Duration, failed bool) {
+// answersFailure reports whether a target's status is a failure of the target rather than
+// of its load.
+func answersFailure(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout
+}
+
+// observe reports a request that ran to the evaluation of the open move, without its key.
+func (s *service) observe(o move.Observation) {
 	m := s.n.move.Load()
 	if m == nil || m.Ticket == 0 {
 		return
 	}
 	if s.r.Context().Err() != nil {
-		if float64(latency) < minAbandonedFraction*float64(s.in.remaining) {
+		if float64(o.Latency) < minAbandonedFraction*float64(s.in.remaining) {
 			return
 		}
-		failed = false
+		o.Failed, o.Answered = false, false
 	}
-	s.n.config.Observer.Observe(move.Observation{
-		Key:     move.SampleKey{Ticket: m.Ticket, Route: s.route, Service: s.backend.target.Service, New: m.New},
-		Latency: max(0, latency), Failed: failed,
-	})
+	o.Key = move.SampleKey{Ticket: m.Ticket, Route: s.route, Service: s.backend.target.Service, New: m.New}
+	o.Latency = max(0, o.Latency)
+	s.n.config.Observer.Observe(o)
 }
 
 func (s *service) outgoing(body *attemptBody) *outgoingRequest {
--- a/internal/replay/traffic.go
+++ b/internal/replay/traffic.go
@@ -82,10 +82,11 @@
 
 func (r *run) newObservation(s *service, rt *route, index int, m responseModel, t *target) move.Observation {
 	ms := latencyQuantile(m.base, r.rng.Float64()) * m.latencyFactor * t.coldLatencyFactor()
+	failed := r.rng.Float64() < m.errorRate
 	return move.Observation{
 		Key:     move.SampleKey{Ticket: ticketNumber, Route: rt.name, Service: s.name, New: index == newVersion},
 		Latency: time.Duration(ms * float64(time.Millisecond)),
-		Failed:  r.rng.Float64() < m.errorRate,
+		Failed:  failed, Answered: failed,
 	}
 }
 
