--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -1,8 +1,10 @@
 package model
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/base64"
+	"fmt"
 	"strings"
 )
 
@@ -12,6 +14,8 @@
 	routeDigestBytes = 12
 	// routeHintBytes bounds the part of the path in a route's identifier.
 	routeHintBytes = 12
+	// maxTitlePathRunes bounds the host and path prefix in a route's title.
+	maxTitlePathRunes = 120
 )
 
 // NormalizeHost returns the host of a request in lower case and without its port.
@@ -41,11 +45,8 @@
 	return strings.EqualFold(r.Host, other.Host) && r.PathPrefix == other.PathPrefix
 }
 
-// Title returns the route's name for people, with its host and path prefix.
+// Title returns the route's name for people, with its host and path prefix. Long ones are cut
+// off, since log lines contain the title.
 func (r *Route) Title() string {
-	name := r.Label
-	if name == "" {
-		name = r.Name
-	}
-	return name + " (" + r.Host + r.PathPrefix + ")"
+	return fmt.Sprintf("%.*q (%.*q)", MaxNameLength, cmp.Or(r.Label, r.Name), maxTitlePathRunes, r.Host+r.PathPrefix)
 }
--- a/internal/model/route_test.go
+++ b/internal/model/route_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// Guards against log lines that a name or a path of the configuration breaks or makes long.
+func TestRouteTitleIsBounded(t *testing.T) {
+	r := model.Route{Label: "a\n" + strings.Repeat("x", 1000), Host: "shop.example", PathPrefix: "/" + strings.Repeat("y", 1000)}
+	if title := r.Title(); len(title) > 250 || strings.ContainsAny(title, "\n") {
+		t.Errorf("the title is %q", title)
+	}
+	if title := (&model.Route{Name: "look", PathPrefix: "/look"}).Title(); title != `"look" ("/look")` {
+		t.Errorf("the title is %s", title)
+	}
+}
+
 // Guards against a route that is another one because an operator wrote its host in capitals.
 func TestRouteIDIgnoresTheCaseOfTheHost(t *testing.T) {
 	if model.RouteID("Shop.Example", "/a/") != model.RouteID("shop.example", "/a/") {
