Wait for four clear intervals, not for a full proof, after dropped evidence

Cause: a route with few requests cannot give the standard proof within a move, and what cold targets may explain did not count for a version even where nothing had been dropped.

The move now waits until four intervals show no regression. An interval whose hits cold targets or load may explain begins the wait anew. The allowance for cold targets is as before where nothing was dropped.

--- a/internal/move/flapping_test.go
+++ b/internal/move/flapping_test.go
@@ -30,6 +30,8 @@
 	// crashLosses is the number of requests that are lost when the target goes down, of a
 	// version that has all requests.
 	crashLosses = 20
+	// quietRouteRate is the rate of a route with few requests.
+	quietRouteRate = 15
 	// overloadSlowdown is the factor of the latency of an overloaded target.
 	overloadSlowdown = 8
 )
@@ -83,6 +85,20 @@
 		if fiftieth > 0 && since > fiftieth+rollback {
 			result.exposedLate += int(newSample.Requests)
 		}
+		// A route with few requests, and one whose callers stop.
+		quiet := []string{"scan"}
+		if since < f.from+3*time.Second {
+			quiet = append(quiet, "ended")
+		}
+		for _, route := range quiet {
+			for _, isNew := range []bool{false, true} {
+				part := share
+				if !isNew {
+					part = 1 - share
+				}
+				samples = append(samples, randomSample(f.rng, sampleKey(route, isNew), int(quietRouteRate*tick.Seconds()*part+f.rng.Float64()), b))
+			}
+		}
 		samples = append(samples, newSample, randomSample(f.rng, sampleKey("look", false), int(n*(1-share)), healthy))
 		if since%move.SampleInterval == 0 {
 			p.Observe(now, samples)
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -35,7 +35,7 @@
 	// stays true.
 	Bad bool
 	// EvidenceDropped is true from an interval in which evidence of a regression was
-	// dropped until later evidence rules out a regression.
+	// dropped until some later intervals show none.
 	EvidenceDropped bool
 	// Reason names the service, the route and the measure that led to Bad.
 	Reason string
--- a/internal/move/route.go
+++ b/internal/move/route.go
@@ -55,6 +55,7 @@
 	}
 	if t.old.Requests == 0 && t.new.Requests == 0 {
 		t.old, t.new = Sample{}, Sample{}
+		withoutRequests(t.measures...)
 		return
 	}
 	oldRelieved := stage.Permille >= oldRelievedPermille
@@ -75,7 +76,9 @@
 		cold = 0
 	}
 	if bucket, total := t.slowBucket(); total > 0 {
-		if total >= minOldRequests {
+		if total < minOldRequests {
+			withoutRequests(t.slow, t.verySlow)
+		} else {
 			t.slow.observe(t.slowInterval(base, bucket, cold), weight)
 			t.verySlow.observe(t.slowInterval(base, bucket+verySlowShift, verySlowColdFraction*cold), weight)
 		}
@@ -84,6 +87,13 @@
 	t.old, t.new = Sample{}, Sample{}
 }
 
+// withoutRequests records an interval without requests to compare.
+func withoutRequests(measures ...*measure) {
+	for _, m := range measures {
+		m.updateUnproved(false)
+	}
+}
+
 // oldNoisy reports whether the old version is noisy by any measure.
 func (t *routeTest) oldNoisy() bool {
 	return slices.ContainsFunc(t.measures, (*measure).wasNoisy)
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -159,7 +159,7 @@
 	for _, test := range j.routes {
 		for _, m := range test.measures {
 			v.RegressionLLR = math.Max(v.RegressionLLR, m.maxLLR())
-			v.EvidenceDropped = v.EvidenceDropped || m.unproved
+			v.EvidenceDropped = v.EvidenceDropped || m.unprovedIntervals > 0
 		}
 	}
 	if len(j.routes) == 0 {
